--- /dev/null
+++ b/currantmast/__init__.py
@@ -0,0 +1,1 @@
+"""Global traffic steering."""
--- /dev/null
+++ b/currantmast/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Decision logic without sockets: messages and a clock in, decisions out."""
--- /dev/null
+++ b/currantmast/errors.py
@@ -0,0 +1,98 @@
+"""The exception tree: every failure of the package derives from one root."""
+
+
+class CurrantmastError(Exception):
+    """Root of all failures that this package raises."""
+
+
+class SettingsError(CurrantmastError):
+    """A settings or deployment file was rejected.
+
+    Parameters
+    ----------
+    file : str
+        Path of the file as the user gave it.
+    field : str
+        Path of the field, for example ``teams[2].rate``.
+    found : object
+        Value found in the file.
+    allowed : str
+        Description of the allowed values.
+    """
+
+    def __init__(self, file: str, field: str, found: object, allowed: str) -> None:
+        self.file = file
+        self.field = field
+        self.found = found
+        self.allowed = allowed
+        super().__init__(f'{file}: {field}: found {found!r}, allowed: {allowed}')
+
+
+class StoreError(CurrantmastError):
+    """A call on the object API failed."""
+
+
+class StoreUnavailable(StoreError):
+    """The object API did not answer, or answered that it is unavailable."""
+
+
+class StoreConflict(StoreError):
+    """A conditional update lost against another writer.
+
+    Parameters
+    ----------
+    name : str
+        Name of the object.
+    current : int
+        Version that the object has in the store; 0 when it is absent.
+    """
+
+    def __init__(self, name: str, current: int) -> None:
+        self.name = name
+        self.current = current
+        super().__init__(f'{name}: conflict, the current version is {current}')
+
+
+class StoreBudgetExceeded(StoreError):
+    """The call budget of this process is used up for the moment."""
+
+
+class WatchExpired(StoreError):
+    """The revision to resume a watch from is no longer kept by the store."""
+
+
+class TransportError(CurrantmastError):
+    """An exchange with a peer or target failed."""
+
+
+class NothingSent(TransportError):
+    """The exchange failed before any byte of the request can have left."""
+
+
+class ExchangeBroken(TransportError):
+    """The exchange failed after bytes of the request may have left."""
+
+
+class AnswerIncomplete(ExchangeBroken):
+    """An answer ended before its announced length."""
+
+
+class ProgressTimeout(ExchangeBroken):
+    """The other end made no progress for longer than the hop allows."""
+
+
+class TaskFailed(CurrantmastError):
+    """A supervised task failed more often than its supervisor allows.
+
+    Parameters
+    ----------
+    name : str
+        Name of the task.
+    reason : Exception
+        The last failure of the task.
+    """
+
+    def __init__(self, name: str, reason: BaseException) -> None:
+        self.name = name
+        self.reason = reason
+        super().__init__(f'task {name} failed: {type(reason).__name__}: {reason}')
--- /dev/null
+++ b/currantmast/experiment/__init__.py
@@ -0,0 +1,1 @@
+"""Load generation, recorded histories and their checks."""
--- /dev/null
+++ b/currantmast/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks that own sockets, and the process that supervises them."""
--- /dev/null
+++ b/currantmast/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the systems around the fleet."""
