--- a/currantmast/errors.py
+++ b/currantmast/errors.py
@@ -36,6 +36,28 @@
     """The object API did not answer, or answered that it is unavailable."""
 
 
+class StoreOutcomeUnknown(StoreError):
+    """A write may have taken effect; reading back did not tell."""
+
+
+class ValueTooLarge(StoreError):
+    """A value exceeds the largest size that the object API accepts.
+
+    Parameters
+    ----------
+    name : str
+        Name of the object.
+    size, limit : int
+        Size of the value and largest size accepted, in bytes.
+    """
+
+    def __init__(self, name: str, size: int, limit: int) -> None:
+        self.name = name
+        self.size = size
+        self.limit = limit
+        super().__init__(f'{name}: {size} bytes, at most {limit} are accepted')
+
+
 class StoreConflict(StoreError):
     """A conditional update lost against another writer.
 
@@ -81,6 +103,14 @@
     """The other end made no progress for longer than the hop allows."""
 
 
+class LoopRejected(CurrantmastError):
+    """The event loop does not run on the required backend."""
+
+
+class SecretRejected(CurrantmastError):
+    """A caller's key or an Authorization value was passed to a log line."""
+
+
 class TaskFailed(CurrantmastError):
     """A supervised task failed more often than its supervisor allows.
 
--- /dev/null
+++ b/currantmast/runtime/logs.py
@@ -0,0 +1,113 @@
+"""Log lines: one line of key=value fields for each event."""
+
+import json
+import re
+import sys
+from datetime import UTC, datetime
+from enum import StrEnum
+from typing import TextIO
+
+import msgspec
+from loguru import logger
+
+from currantmast.errors import SecretRejected
+from currantmast.messages import Address
+
+LogValue = str | int | float | bool | StrEnum | Address | BaseException | None
+
+_ACCEPTED = (str, int, float, bool, Address, BaseException, type(None))
+_SECRET_FIELDS = frozenset(('authorization', 'key', 'caller_key', 'password'))
+_BEARER = re.compile(r'\bbearer\s+\S', re.IGNORECASE)
+_PLAIN = re.compile(r'[\w.:/@+<>,*-]+\Z', re.ASCII)
+
+
+class LogContext(msgspec.Struct):
+    """Fields that every line of this process carries."""
+
+    instance: str = '-'
+
+
+_context = LogContext()
+
+
+def configure_logs(
+    instance: str, stream: TextIO | None = None, level: str = 'INFO'
+) -> None:
+    """Send log lines to `stream`.
+
+    Parameters
+    ----------
+    instance : str
+        Instance id that every line carries.
+    stream : text stream, optional
+        Destination; the standard error stream by default.
+    level : str
+        Least level that is written.
+    """
+    _context.instance = instance
+    logger.remove()
+    logger.add(
+        stream or sys.stderr,
+        format='{message}',
+        level=level,
+        colorize=False,
+        backtrace=False,
+        diagnose=False,
+    )
+
+
+def log_event(event: str, *, level: str = 'INFO', **fields: LogValue) -> None:
+    """Write one line for `event`.
+
+    Parameters
+    ----------
+    event : str
+        Name of the event.
+    level : str
+        Level of loguru.
+    **fields
+        Values of plain types. Objects that could hold a caller's key are refused.
+
+    Raises
+    ------
+    SecretRejected
+        If a field is named after a secret, holds an Authorization value, or is of a
+        type that is not a plain value (such as `CallerKey`).
+    """
+    line = format_event(event, level, **fields)
+    logger.log(level, '{}', line)
+
+
+def format_event(event: str, level: str, **fields: LogValue) -> str:
+    """Return the line of an event.
+
+    Raises
+    ------
+    SecretRejected
+        As `log_event` does.
+    """
+    moment = datetime.now(UTC).isoformat(timespec='milliseconds')
+    heading = f'time={moment} level={level} instance={_quote(_context.instance)}'
+    parts = [heading, f'event={_quote(event)}']
+    for name, content in fields.items():
+        parts.append(f'{name}={_format_value(name, content)}')
+    return ' '.join(parts)
+
+
+def _format_value(name: str, content: LogValue) -> str:
+    if name.lower() in _SECRET_FIELDS or not isinstance(content, _ACCEPTED):
+        kind = type(content).__name__
+        raise SecretRejected(f'field {name} of type {kind} must not be logged')
+    if isinstance(content, float):
+        return f'{content:.6g}'
+    if isinstance(content, BaseException):
+        text = f'{type(content).__name__}: {content}'
+    else:
+        text = '-' if content is None else str(content)
+    if _BEARER.search(text):
+        raise SecretRejected(f'field {name} holds an Authorization value')
+    return _quote(text)
+
+
+def _quote(text: str) -> str:
+    return text if _PLAIN.match(text) else json.dumps(text)
