--- /dev/null
+++ b/currantmast/decisions/links.py
@@ -0,0 +1,81 @@
+"""Link budgets: bytes between regions, reserved chunk by chunk."""
+
+from types import TracebackType
+from typing import Self
+
+from currantmast.decisions.admission import Shares
+
+# Most bytes reserved at once. A transfer that ends early has held little, and the share
+# of an instance with little demand must be able to hold one chunk in its burst.
+CHUNK_BYTES = 16_384
+
+
+class LinkReservation:
+    """Bytes of one transfer that may be sent over a link.
+
+    A context manager: what was reserved but not sent is given back at its end.
+
+    Parameters
+    ----------
+    shares : Shares
+        Shares of the link budgets that this instance holds.
+    source, destination : str
+        Regions; a transfer within one region uses no budget.
+    """
+
+    __slots__ = ('_budget', '_shares', 'reserved', 'sent')
+
+    def __init__(self, shares: Shares, source: str, destination: str) -> None:
+        self._budget = None if source == destination else name_link(source, destination)
+        self._shares = shares
+        self.reserved = 0
+        self.sent = 0
+
+    def __enter__(self) -> Self:
+        """Return this reservation."""
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Give back what was not sent."""
+        unsent = self.reserved - self.sent
+        if self._budget and unsent > 0:
+            self._shares.give_back(self._budget, unsent)
+        self.reserved = self.sent
+
+    def __repr__(self) -> str:
+        """Return the bytes reserved and sent."""
+        return f'<LinkReservation {self._budget} {self.sent} of {self.reserved} bytes>'
+
+    def reserve(self, wanted: int) -> int:
+        """Return how many of `wanted` bytes may be sent now.
+
+        Parameters
+        ----------
+        wanted : int
+            Bytes ready to be sent.
+
+        Returns
+        -------
+        int
+            At most `CHUNK_BYTES`; 0 when the share has none left. The caller then waits
+            and asks again, at most until the deadline of the request.
+        """
+        chunk = min(wanted, CHUNK_BYTES)
+        if self._budget and not self._shares.take(self._budget, chunk):
+            return 0
+        self.reserved += chunk
+        return chunk
+
+    def confirm(self, size: int) -> None:
+        """Record that `size` reserved bytes were handed to the connection."""
+        self.sent += size
+
+
+def name_link(source: str, destination: str) -> str:
+    """Return the name of the budget of a link, in bytes."""
+    return f'link:{source}>{destination}'
