--- /dev/null
+++ b/currantmast/decisions/expiry.py
@@ -0,0 +1,101 @@
+"""Which former members can certainly no longer hold a valid lease."""
+
+from currantmast.clocks import Clock
+from currantmast.decisions.leases import count_majority
+from currantmast.decisions.sightings import MemberKey, Sightings, get_key
+from currantmast.messages import Departure, FleetRecord
+
+# Clock rates of two hosts differ by less than 5%; the margin covers rounding.
+LEASE_DRIFT_FACTOR = 1.05
+LEASE_MARGIN_S = 0.25
+# Expired incarnations remembered for those that ask late.
+EXPIRED_LIMIT = 1024
+
+
+def is_blocking(witnesses: tuple[str, ...], open_count: int) -> bool:
+    """Return whether `open_count` of `witnesses` are too few to renew a lease."""
+    return open_count < count_majority(len(witnesses))
+
+
+def is_blocked(record: FleetRecord, departure: Departure, sightings: Sightings) -> bool:
+    """Return whether a departed member can't renew its lease any more.
+
+    Either its id was joined again, or a blocking set of the witnesses of each epoch
+    that it may be in has confirmed a later epoch.
+    """
+    if any(member.id == departure.member.id for member in record.members):
+        return True
+    reported = sightings.get(get_key(departure.member)).epoch
+    confirmed = sightings.list_confirmed()
+    for past in record.past_witnesses:
+        if past.last_epoch < reported:
+            continue
+        last_epoch = min(past.last_epoch, departure.epoch - 1)
+        open_count = sum(
+            confirmed.get(witness, -1) <= last_epoch for witness in past.witnesses
+        )
+        if not is_blocking(past.witnesses, open_count):
+            return False
+        if past.last_epoch >= departure.epoch - 1:
+            break
+    return True
+
+
+class Expiry:
+    """Time since which each departed member can't renew its lease.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of monotonic time.
+    lease_s : float
+        Time that a renewal lasts, in seconds.
+    """
+
+    __slots__ = ('_blocked_at', '_clock', '_expired', '_record', '_wait_s')
+
+    def __init__(self, clock: Clock, lease_s: float) -> None:
+        self._clock = clock
+        self._wait_s = lease_s * LEASE_DRIFT_FACTOR + LEASE_MARGIN_S
+        self._record = FleetRecord(0)
+        self._blocked_at: dict[MemberKey, float] = {}
+        self._expired: dict[MemberKey, None] = {}
+
+    def adopt_record(self, record: FleetRecord) -> None:
+        """Take over the departures of `record`.
+
+        A member or departed member that it no longer mentions was found expired by
+        the one who wrote it.
+        """
+        mentioned = {get_key(member) for member in record.members}
+        departed = {get_key(entry.member) for entry in record.departures}
+        before = {get_key(member) for member in self._record.members}
+        before.update(get_key(entry.member) for entry in self._record.departures)
+        self._expired.update(dict.fromkeys(before - mentioned - departed))
+        newest = list(self._expired)[-EXPIRED_LIMIT:]
+        self._expired = dict.fromkeys(newest)
+        self._blocked_at = {
+            blocked: at
+            for blocked, at in self._blocked_at.items()
+            if blocked in departed
+        }
+        self._record = record
+
+    def update(self, sightings: Sightings) -> None:
+        """Start the wait of each departed member that is blocked by now."""
+        now = self._clock.now()
+        for departure in self._record.departures:
+            key = get_key(departure.member)
+            if key in self._blocked_at:
+                continue
+            if is_blocked(self._record, departure, sightings):
+                self._blocked_at[key] = now
+
+    def has_expired(self, key: MemberKey) -> bool:
+        """Return whether the lease of `key` has certainly ended."""
+        if key in self._expired:
+            return True
+        blocked_at = self._blocked_at.get(key)
+        return blocked_at is not None and (
+            self._clock.now() > blocked_at + self._wait_s
+        )
--- /dev/null
+++ b/currantmast/decisions/shifts.py
@@ -0,0 +1,68 @@
+"""Planned shifts: which region serves a request from a site."""
+
+from collections.abc import Callable, Iterable
+
+from currantmast.deployment import Shift
+
+
+def name_budget(shift: Shift) -> str:
+    """Return the name of the budget that caps `shift`."""
+    return f'shift:{shift.id}'
+
+
+class FractionCounter:
+    """Selects an exact fraction of a sequence, evenly spread.
+
+    Each request adds the fraction to a credit, and a credit of one selects the
+    request. Of n requests at most ceil(n * fraction) are selected. No random
+    source is needed, so that a run can be repeated.
+    """
+
+    __slots__ = ('_credits',)
+
+    def __init__(self) -> None:
+        self._credits: dict[str, float] = {}
+
+    def select(self, name: str, fraction: float) -> bool:
+        """Return whether the next request of `name` belongs to the fraction.
+
+        Parameters
+        ----------
+        name : str
+            Sequence to count in.
+        fraction : float
+            Part to select, from 0 to 1.
+        """
+        credit = self._credits.get(name, 0) + fraction
+        is_selected = credit >= 1
+        self._credits[name] = credit - 1 if is_selected else credit
+        return is_selected
+
+
+def choose_region(
+    home: str,
+    site: str,
+    shifts: Iterable[Shift],
+    take: Callable[[Shift], bool],
+) -> str:
+    """Return the region that serves a request.
+
+    Every moved request takes a token of its shift first, so that a shift never
+    exceeds its cap; without a token the request stays at home.
+
+    Parameters
+    ----------
+    home : str
+        Home region of the caller.
+    site : str
+        Site of the caller.
+    shifts : iterable of Shift
+        Active shifts.
+    take : callable
+        Returns whether the request may be moved by a shift: it belongs to the
+        shift's fraction and got a token; see `ShiftGate`.
+    """
+    for shift in shifts:
+        if shift.site == site and shift.source == home and take(shift):
+            return shift.destination
+    return home
--- /dev/null
+++ b/currantmast/decisions/sightings.py
@@ -0,0 +1,84 @@
+"""What was last heard from each incarnation of each instance."""
+
+import msgspec
+
+from currantmast.clocks import Clock
+from currantmast.messages import FleetRecord, Member
+
+NEVER = float('-inf')
+
+
+class MemberKey(msgspec.Struct, frozen=True, order=True):
+    """Identity of one run of an instance."""
+
+    id: str
+    incarnation: str
+
+
+def get_key(member: Member) -> MemberKey:
+    """Return the identity of `member`."""
+    return MemberKey(member.id, member.incarnation)
+
+
+class Sighting(msgspec.Struct):
+    """What was last heard from one incarnation; times in monotonic seconds."""
+
+    epoch: int = -1
+    version: int = -1
+    heard_at: float = NEVER
+
+
+NOT_SIGHTED = Sighting()
+
+
+class Sightings:
+    """Newest epoch, version and time heard from each incarnation.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of monotonic time.
+    """
+
+    __slots__ = ('_clock', '_sightings')
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._sightings: dict[MemberKey, Sighting] = {}
+
+    def note(self, key: MemberKey, epoch: int, version: int = -1) -> bool:
+        """Note that `key` was heard now; return whether its epoch advanced."""
+        sighting = self._sightings.setdefault(key, Sighting())
+        has_advanced = epoch > sighting.epoch
+        sighting.heard_at = self._clock.now()
+        sighting.epoch = max(sighting.epoch, epoch)
+        sighting.version = max(sighting.version, version)
+        return has_advanced
+
+    def get(self, key: MemberKey) -> Sighting:
+        """Return what was heard from `key`, with an epoch of -1 if nothing."""
+        return self._sightings.get(key, NOT_SIGHTED)
+
+    def list_confirmed(self) -> dict[str, int]:
+        """Return the newest epoch heard from any incarnation of each id.
+
+        A later incarnation confirms for an earlier one, because the platform
+        reuses an id only after it has ended the old instance.
+        """
+        confirmed: dict[str, int] = {}
+        for key, sighting in self._sightings.items():
+            confirmed[key.id] = max(confirmed.get(key.id, -1), sighting.epoch)
+        return confirmed
+
+    def forget(self, record: FleetRecord) -> None:
+        """Drop what was heard from incarnations that `record` has no use for."""
+        kept = {get_key(member) for member in record.members}
+        kept.update(get_key(entry.member) for entry in record.departures)
+        witnesses = {
+            witness for past in record.past_witnesses for witness in past.witnesses
+        }
+        self._sightings = {
+            key: sighting
+            for key, sighting in self._sightings.items()
+            if key in kept or key.id in witnesses or sighting.epoch >= record.epoch
+        }
--- a/currantmast/messages.py
+++ b/currantmast/messages.py
@@ -53,12 +53,59 @@
     leaving: bool = False
 
 
+class Departure(msgspec.Struct, frozen=True):
+    """A former member whose lease may still be valid.
+
+    Parameters
+    ----------
+    member : Member
+        The member as the last record listed it.
+    epoch : int
+        First epoch without it.
+    """
+
+    member: Member
+    epoch: int
+
+
+class WitnessSet(msgspec.Struct, frozen=True):
+    """Witnesses of earlier epochs.
+
+    Parameters
+    ----------
+    last_epoch : int
+        Last epoch in which exactly these were the witnesses.
+    witnesses : tuple of str
+        Ids of the witnesses.
+    """
+
+    last_epoch: int
+    witnesses: tuple[str, ...]
+
+
 class FleetRecord(msgspec.Struct, frozen=True):
-    """The members and witnesses of the fleet under one epoch."""
+    """The members and witnesses of the fleet under one epoch.
+
+    Parameters
+    ----------
+    epoch : int
+        Number of this record; each change adds one.
+    members : tuple of Member
+        Members in order of their ids.
+    witnesses : tuple of str
+        Ids of the members whose majority renews leases.
+    departures : tuple of Departure
+        Former members not yet known to have expired, so that an instance
+        without history waits for them.
+    past_witnesses : tuple of WitnessSet
+        Earlier witnesses that may still renew a lease, oldest first.
+    """
 
     epoch: int
     members: tuple[Member, ...] = ()
     witnesses: tuple[str, ...] = ()
+    departures: tuple[Departure, ...] = ()
+    past_witnesses: tuple[WitnessSet, ...] = ()
 
 
 class Demand(msgspec.Struct, frozen=True, array_like=True):
