--- /dev/null
+++ b/currantmast/steering.py
@@ -0,0 +1,173 @@
+"""The central object of an instance: configuration, fleet state and decisions."""
+
+from collections import Counter
+
+import msgspec
+
+from currantmast.blocks import BlockTable
+from currantmast.clocks import Clock
+from currantmast.decisions.admission import Admission, AdmissionRequest, Admitted
+from currantmast.decisions.quarantine import Quarantine
+from currantmast.decisions.retries import RetryBudget
+from currantmast.decisions.routing import OwnerView, Route, Router, RouteRequest, Score
+from currantmast.decisions.shifts import FractionCounter, choose_region, name_budget
+from currantmast.deployment import Configuration, Shift, Timing
+from currantmast.inventory import Inventory
+from currantmast.messages import FleetRecord, Heartbeat, Member
+from currantmast.outcomes import NotRun, Outcome, OutcomeUnknown
+from currantmast.peering import Peering, Report
+from currantmast.targets import OwnedTargets
+from currantmast.views import OwnerViews
+
+
+class Origin(msgspec.Struct, frozen=True):
+    """Where a request comes from and where it is to run.
+
+    Parameters
+    ----------
+    site, home : str
+        Site of the caller and its region; the entry's region for unknown callers.
+    region : str
+        Region that serves it after planned shifts.
+    """
+
+    site: str
+    home: str
+    region: str
+
+
+class Steering:
+    """Settings, configuration and decision state of one instance; no sockets.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    member : Member
+        This run of this instance.
+    timing : Timing
+        Periods in force when the process starts.
+    """
+
+    def __init__(self, clock: Clock, member: Member, timing: Timing) -> None:
+        self.clock = clock
+        self.member = member
+        self.timing = timing
+        self.peering = Peering(clock, member, timing)
+        self.lease = self.peering.lease
+        self.shares = self.peering.shares
+        self.targets = OwnedTargets(
+            clock, member, self.peering.handover, self.peering.observer
+        )
+        self.views = OwnerViews(clock)
+        self.quarantine = Quarantine(clock, timing.quarantine_s)
+        self.admission = Admission(clock, self.lease, self.shares)
+        self.retries = RetryBudget(clock)
+        self.refused: Counter[str] = Counter()
+        self.configuration: Configuration | None = None
+        self.inventory: Inventory | None = None
+        self.blocks: BlockTable | None = None
+        self._router: Router | None = None
+        self._fractions = FractionCounter()
+
+    def __repr__(self) -> str:
+        """Return the state of the fleet as this instance sees it."""
+        return f'<Steering {self.member.id} {self.peering!r}>'
+
+    def adopt_configuration(self, configuration: Configuration) -> bool:
+        """Put a newer configuration in force; return whether it was newer."""
+        held = self.configuration
+        if held is not None and configuration.version <= held.version:
+            return False
+        base = configuration.deployment.base
+        inventory = Inventory(configuration.deployment)
+        if held is None or held.deployment.sites != configuration.deployment.sites:
+            self.blocks = BlockTable.from_sites(configuration.deployment.sites)
+        self.configuration = configuration
+        self.inventory = inventory
+        self._router = Router(base.policy, self.clock, base.links)
+        self.retries = RetryBudget(self.clock, base.policy.retry_ratio)
+        self.admission.set_configuration(configuration)
+        self.targets.adopt_inventory(inventory)
+        self.peering.adopt_budgets(
+            configuration.version, inventory.budgets, base.policy
+        )
+        return True
+
+    def adopt_record(self, record: FleetRecord) -> bool:
+        """Follow a newer fleet record; return whether it was newer."""
+        if not self.peering.adopt_record(record):
+            return False
+        self.targets.adopt_record(record)
+        return True
+
+    def observe_heartbeat(self, heartbeat: Heartbeat) -> None:
+        """Take in what a peer reports about its work."""
+        self.views.observe(heartbeat.sender, heartbeat.capacity)
+        self.targets.observe_remaining(heartbeat.sender, heartbeat.remaining)
+        self.quarantine.merge(heartbeat.suspects)
+
+    def make_report(self) -> Report:
+        """Return what to tell peers about the work of this instance."""
+        return Report(
+            capacity=self.targets.list_capacity(),
+            remaining=self.targets.list_remaining(),
+            suspects=self.quarantine.list_suspects(),
+        )
+
+    def admit(self, request: AdmissionRequest) -> Admitted | NotRun:
+        """Return the admitted request or why it is refused."""
+        return self.admission.admit(request)
+
+    def locate(self, caller: str, *, use_shift: bool = True) -> Origin:
+        """Return where `caller` belongs and which region serves it now.
+
+        Parameters
+        ----------
+        caller : str
+            IP address of the caller.
+        use_shift : bool
+            Whether a planned shift may use a token for this request.
+        """
+        site = self._find_site(caller)
+        home = site and self.inventory.find_region(site)
+        if not home:
+            return Origin('', self.member.region, self.member.region)
+        if not use_shift:
+            return Origin(site, home, home)
+        shifts = self.inventory.list_shifts(site)
+        return Origin(site, home, choose_region(home, site, shifts, self._take_shift))
+
+    def route(self, request: RouteRequest) -> Route | NotRun:
+        """Return the owner to send a request to, or why there is none."""
+        return self._router.choose_owner(request, self.list_views(request.service))
+
+    def explain_route(self, request: RouteRequest) -> tuple[Score, ...]:
+        """Return the score of every owner."""
+        return self._router.explain(request, self.list_views(request.service))
+
+    def list_views(self, service: str) -> tuple[OwnerView, ...]:
+        """Return what is known of the owners of `service`, this instance included."""
+        self.views.observe(self.member.id, self.targets.list_capacity())
+        views = self.views.list_views(self.peering.record, service)
+        return tuple(
+            view
+            for view in views
+            if not self.inventory.is_drained('region', view.region)
+        )
+
+    def note_refusal(self, outcome: Outcome) -> None:
+        """Count an outcome that is not `Done`, by reason, for status and metrics."""
+        match outcome:
+            case NotRun(reason) | OutcomeUnknown(reason):
+                self.refused[reason.value] += 1
+
+    def _find_site(self, caller: str) -> str:
+        if self.blocks is None:
+            return ''
+        return self.blocks.find(caller) or ''
+
+    def _take_shift(self, shift: Shift) -> bool:
+        if not self._fractions.select(shift.id, shift.fraction):
+            return False
+        return self.shares.take(name_budget(shift))
--- /dev/null
+++ b/currantmast/views.py
@@ -0,0 +1,68 @@
+"""What an entry knows of the owners' capacity, from their heartbeats."""
+
+import msgspec
+
+from currantmast.clocks import Clock
+from currantmast.decisions.routing import OwnerView
+from currantmast.messages import Capacity, FleetRecord
+
+
+class _Seen(msgspec.Struct):
+    capacity: dict[str, Capacity]
+    at: float
+    sent: dict[str, int]
+
+
+class OwnerViews:
+    """The newest capacity report of each owner, and the work sent to it since.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    """
+
+    __slots__ = ('_clock', '_seen')
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._seen: dict[str, _Seen] = {}
+
+    def __repr__(self) -> str:
+        """Return the number of owners known."""
+        return f'<OwnerViews owners={len(self._seen)}>'
+
+    def observe(self, member_id: str, capacity: tuple[Capacity, ...]) -> None:
+        """Replace what is known of `member_id`."""
+        by_service = {entry.service: entry for entry in capacity}
+        self._seen[member_id] = _Seen(by_service, self._clock.now(), {})
+
+    def note_sent(self, member_id: str, service: str) -> None:
+        """Count a request that was sent to `member_id`."""
+        seen = self._seen.get(member_id)
+        if seen is not None:
+            seen.sent[service] = seen.sent.get(service, 0) + 1
+
+    def list_views(self, record: FleetRecord, service: str) -> tuple[OwnerView, ...]:
+        """Return the owners of targets of `service` among the members of `record`."""
+        views = (
+            self._make_view(member.id, member.region, service)
+            for member in record.members
+            if not member.leaving
+        )
+        return tuple(view for view in views if view is not None)
+
+    def _make_view(self, member_id: str, region: str, service: str) -> OwnerView | None:
+        seen = self._seen.get(member_id)
+        capacity = seen and seen.capacity.get(service)
+        if not capacity:
+            return None
+        return OwnerView(
+            member_id=member_id,
+            region=region,
+            free=capacity.free,
+            usable=capacity.usable,
+            queued=capacity.queued,
+            age_s=self._clock.now() - seen.at,
+            sent_since=seen.sent.get(service, 0),
+        )
