Add strict loading, settings, the block table and publication

Cause: the integration needs the configuration before the decision modules can be joined: loading from base and overlays, settings of an instance, client blocks, and pages and head in the store.

Ruled out: client blocks as CIDR text in the published pages. Ruled out also: rate equal to cap for shifts, because a bucket then passes cap plus burst in one second; rate and burst now add up to the cap.

--- a/currantmast/deployment.py
+++ b/currantmast/deployment.py
@@ -1,11 +1,25 @@
 """The deployment that a configuration version puts in force."""
 
 from enum import StrEnum
+from typing import Annotated
 
 import msgspec
 
+from currantmast.fields import (
+    Count,
+    Digest,
+    Fraction,
+    Identifier,
+    Milliseconds,
+    NotNegative,
+    Positive,
+)
 from currantmast.messages import Address
 
+# A shift's burst is at least one request and the sum of rate and burst is its cap
+# (see `inventory`), so a lower cap would leave no rate.
+CapRate = Annotated[float, msgspec.Meta(ge=2)]
+
 
 class ServiceKind(StrEnum):
     """What a service does with a request."""
@@ -44,30 +58,30 @@
     """
 
     kind: PolicyKind = PolicyKind.adaptive
-    latency_weight: float = 1
-    headroom_weight: float = 1
-    retry_ratio: float = 0.1
-    queue_wait_ms: int = 500
-    floor_share: float = 0.05
+    latency_weight: NotNegative = 1
+    headroom_weight: NotNegative = 1
+    retry_ratio: Fraction = 0.1
+    queue_wait_ms: Milliseconds = 500
+    floor_share: Fraction = 0.05
 
 
 class Timing(Section, frozen=True):
     """Periods and lifetimes, in seconds."""
 
-    heartbeat_s: float = 0.5
-    lease_s: float = 3
-    removal_after_s: float = 3
-    lookup_lifetime_s: float = 5
-    claim_lifetime_s: float = 900
-    claim_batch_s: float = 0.1
-    quarantine_s: float = 600
+    heartbeat_s: Positive = 0.5
+    lease_s: Positive = 3
+    removal_after_s: Positive = 3
+    lookup_lifetime_s: Positive = 5
+    claim_lifetime_s: Positive = 900
+    claim_batch_s: Positive = 0.1
+    quarantine_s: Positive = 600
 
 
 class Region(Section, frozen=True):
     """A region and its failure domains."""
 
-    id: str
-    failure_domains: tuple[str, ...]
+    id: Identifier
+    failure_domains: tuple[Identifier, ...]
 
 
 class Link(Section, frozen=True):
@@ -85,8 +99,8 @@
 
     source: str
     destination: str
-    capacity_mbit_s: float
-    delay_ms: float
+    capacity_mbit_s: Positive
+    delay_ms: NotNegative
 
 
 class Service(Section, frozen=True):
@@ -102,12 +116,12 @@
         Whether requests without a key are served.
     """
 
-    id: str
+    id: Identifier
     kind: ServiceKind
-    timeout_ms: int
-    max_body_bytes: int = 1_048_576
+    timeout_ms: Count
+    max_body_bytes: Count = 1_048_576
     open_to_all: bool = False
-    queue_limit: int = 64
+    queue_limit: Count = 64
 
     @property
     def idempotent(self) -> bool:
@@ -131,8 +145,8 @@
     service: str
     region: str
     failure_domain: str
-    slots: int
-    connections: int
+    slots: Count
+    connections: Count
     addresses: tuple[str, ...]
 
 
@@ -151,11 +165,11 @@
         SHA-256 of each key, in hexadecimal.
     """
 
-    id: str
-    rate: float
-    burst: float
+    id: Identifier
+    rate: Positive
+    burst: Positive
     services: tuple[str, ...]
-    key_digests: tuple[str, ...] = ()
+    key_digests: tuple[Digest, ...] = ()
 
 
 class Site(Section, frozen=True):
@@ -169,12 +183,15 @@
         One-way delay in milliseconds to instances of the home region.
     blocks : tuple of str
         Client address blocks in CIDR notation.
+    packed_blocks : bytes
+        Blocks in the form that is published, see `blocks.pack_blocks`; not for files.
     """
 
-    id: str
+    id: Identifier
     region: str
-    delay_ms: float
-    blocks: tuple[str, ...]
+    delay_ms: NotNegative
+    blocks: tuple[str, ...] = ()
+    packed_blocks: bytes = b''
 
 
 class Shift(Section, frozen=True):
@@ -185,15 +202,16 @@
     fraction : float
         Part of the site's requests to move, from 0 to 1.
     cap_rate : float
-        Most requests per second that may be moved, over the whole fleet.
+        Most requests that may be moved in any second, over the whole fleet; at
+        least 2.
     """
 
-    id: str
+    id: Identifier
     site: str
     source: str
     destination: str
-    fraction: float
-    cap_rate: float
+    fraction: Fraction
+    cap_rate: CapRate
 
 
 class Operations(Section, frozen=True):
@@ -213,8 +231,8 @@
 
     drained: tuple[str, ...] = ()
     shifts: tuple[Shift, ...] = ()
-    issued_keys: dict[str, str] = {}
-    withdrawn_keys: tuple[str, ...] = ()
+    issued_keys: dict[Digest, str] = {}
+    withdrawn_keys: tuple[Digest, ...] = ()
 
 
 class Target(msgspec.Struct, frozen=True):
@@ -232,7 +250,7 @@
 class Base(Section, frozen=True):
     """Content of ``base.yaml``: all but the sites."""
 
-    name: str
+    name: Identifier
     regions: tuple[Region, ...]
     links: tuple[Link, ...]
     services: tuple[Service, ...]
--- a/currantmast/errors.py
+++ b/currantmast/errors.py
@@ -28,6 +28,56 @@
         super().__init__(f'{file}: {field}: found {found!r}, allowed: {allowed}')
 
 
+class ConfigurationError(CurrantmastError):
+    """The configuration in the store cannot be read or changed as asked."""
+
+
+class ConfigurationMissing(ConfigurationError):
+    """Nothing has been published to the store."""
+
+
+class ConfigurationDamaged(ConfigurationError):
+    """A page of the configuration is absent from the store or altered."""
+
+
+class OperationRejected(ConfigurationError):
+    """An operation names something that the deployment does not have.
+
+    Parameters
+    ----------
+    operation : str
+        The operation, for example ``drain region:fife``; never a key.
+    reason : str
+        Why it cannot be in force.
+    """
+
+    def __init__(self, operation: str, reason: str) -> None:
+        self.operation = operation
+        self.reason = reason
+        super().__init__(f'{operation}: {reason}')
+
+
+class BlocksOverlap(CurrantmastError):
+    """Client blocks of two sites overlap.
+
+    Parameters
+    ----------
+    block, other_block : str
+        The blocks in CIDR notation.
+    site, other_site : str
+        The sites that name them.
+    """
+
+    def __init__(
+        self, block: str, site: str, other_block: str, other_site: str
+    ) -> None:
+        self.block = block
+        self.site = site
+        self.other_block = other_block
+        self.other_site = other_site
+        super().__init__(f'{block} of {site} overlaps {other_block} of {other_site}')
+
+
 class StoreError(CurrantmastError):
     """A call on the object API failed."""
 
--- /dev/null
+++ b/currantmast/publication.py
@@ -0,0 +1,430 @@
+"""Publication of configurations through the platform's store.
+
+``config/head`` names the version, the pages and the operations. Pages are named by
+their digest and never change. Every change is one conditional update of the head.
+"""
+
+import hashlib
+import secrets
+from collections.abc import Callable, Iterable, Iterator
+from typing import Protocol
+
+import msgspec
+import xxhash
+
+from currantmast.blocks import pack_blocks
+from currantmast.deployment import (
+    Base,
+    Configuration,
+    Deployment,
+    Operations,
+    Section,
+    Site,
+)
+from currantmast.errors import (
+    ConfigurationDamaged,
+    ConfigurationError,
+    ConfigurationMissing,
+    StoreConflict,
+)
+from currantmast.operations import check_operations
+
+HEAD = 'config/head'
+PAGE_PREFIX = 'config/page/'
+PAGE_LIMIT_BYTES = 900_000  # The store takes a megabyte; the rest is headroom.
+FRAGMENT_BYTES = 400_000  # 80,000 packed client blocks.
+WRITER_BYTES = 8
+READ_ATTEMPTS = 3
+
+
+class StoredObject(Protocol):
+    """What a get of the object API returns."""
+
+    name: str
+    version: int
+    body: bytes
+
+
+class ObjectStore(Protocol):
+    """The part of the object API's client that publication uses."""
+
+    def get(self, name: str) -> StoredObject | None:
+        """Return the object, None if it is absent."""
+
+    def put(self, name: str, body: bytes, if_version: int) -> int:
+        """Write the object if its version is `if_version`; return the new one."""
+
+    def delete(self, name: str, if_version: int) -> None:
+        """Delete the object if its version is `if_version`."""
+
+    def list(self, prefix: str) -> Iterable[tuple[str, int]]:
+        """Return name and version of the objects whose name starts with `prefix`."""
+
+
+class Head(Section, frozen=True):
+    """The configuration in force.
+
+    Parameters
+    ----------
+    version : int
+        Number of the configuration; each change adds one.
+    pages : tuple of str
+        Digests of the pages, in order.
+    operations : Operations
+        Changes that operators made.
+    writer : str
+        Random token of one write, so that a writer whose answer was lost can tell
+        its own write from another one.
+    """
+
+    version: int
+    pages: tuple[str, ...]
+    operations: Operations
+    writer: str
+
+
+class Page(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Part of a deployment: the base, or fragments of sites."""
+
+    base: Base | None = None
+    sites: tuple[Site, ...] = ()
+
+
+class HeldHead(msgspec.Struct, frozen=True):
+    """A head with the version that the store gave its object; 0 when absent."""
+
+    head: Head
+    stored_version: int
+
+
+_page_encoder = msgspec.msgpack.Encoder(order='deterministic')
+_page_decoder = msgspec.msgpack.Decoder(Page)
+_configuration_decoder = msgspec.msgpack.Decoder(Configuration)
+
+
+def publish(client: ObjectStore, deployment: Deployment) -> int:
+    """Put `deployment` in the place of the one in force.
+
+    The operations in force stay; those in `deployment` are not used.
+
+    Parameters
+    ----------
+    client : ObjectStore
+        Client of the platform's store.
+    deployment : Deployment
+        A deployment that passed `validation`.
+
+    Returns
+    -------
+    int
+        Version of the new configuration.
+
+    Raises
+    ------
+    StoreConflict
+        If another operator changed the configuration meanwhile; nothing is in force.
+    OperationRejected
+        If an operation in force names something that `deployment` does not have.
+    StoreError
+        If the store failed.
+    """
+    # Pages are listed before the head is read: see `_delete_obsolete`.
+    listed = tuple(client.list(PAGE_PREFIX))
+    held = read_head(client)
+    check_operations(held.head.operations, deployment)
+    pages = {_digest(page): page for page in encode_pages(deployment)}
+    _write_pages(client, pages, held.head.pages)
+    version = _write_head(client, held, tuple(pages), held.head.operations)
+    _delete_obsolete(client, listed, {*pages, *held.head.pages})
+    return version
+
+
+def change_operations(
+    client: ObjectStore, change: Callable[[Operations], Operations]
+) -> int:
+    """Change the operations in force.
+
+    Parameters
+    ----------
+    client : ObjectStore
+        Client of the platform's store.
+    change : callable
+        Returns the new operations for the ones in force.
+
+    Returns
+    -------
+    int
+        Version of the new configuration.
+
+    Raises
+    ------
+    ConfigurationMissing
+        If nothing has been published.
+    StoreConflict
+        If another operator changed the configuration meanwhile; nothing is changed.
+    OperationRejected
+        If an operation names something that the deployment does not have.
+    StoreError
+        If the store failed.
+    """
+    held = _require_head(client)
+    deployment = _read_deployment(client, held.head)
+    operations = change(held.head.operations)
+    check_operations(operations, deployment)
+    return _write_head(client, held, held.head.pages, operations)
+
+
+def read_head(client: ObjectStore) -> HeldHead:
+    """Return the head; one of version 0 without pages when nothing is published.
+
+    Raises
+    ------
+    ConfigurationDamaged
+        If the object is no head.
+    StoreError
+        If the store failed.
+    """
+    stored = client.get(HEAD)
+    if stored is None:
+        return HeldHead(Head(0, (), Operations(), ''), 0)
+    try:
+        head = msgspec.json.decode(stored.body, type=Head)
+    except msgspec.MsgspecError as error:
+        raise ConfigurationDamaged(f'{HEAD}: {error}') from error
+    return HeldHead(head, stored.version)
+
+
+def read_configuration(client: ObjectStore) -> Configuration:
+    """Return the configuration in force, read from the store in whole.
+
+    Raises
+    ------
+    ConfigurationMissing, ConfigurationDamaged, StoreError
+        As for `ConfigurationReader.read`.
+    """
+    return ConfigurationReader(client).read()
+
+
+class ConfigurationReader:
+    """Reader that fetches pages only when they differ from those it read last.
+
+    Most changes are operations, which the head holds itself; they cost one call.
+
+    Parameters
+    ----------
+    client : ObjectStore
+        Client of the platform's store.
+    """
+
+    __slots__ = ('_client', '_pages', '_deployment')
+
+    def __init__(self, client: ObjectStore) -> None:
+        self._client = client
+        self._pages: tuple[str, ...] = ()
+        self._deployment: Deployment | None = None
+
+    def read(self) -> Configuration:
+        """Return the configuration in force.
+
+        Raises
+        ------
+        ConfigurationMissing
+            If nothing has been published.
+        ConfigurationDamaged
+            If a page stays absent or does not match its digest.
+        StoreError
+            If the store failed.
+        """
+        for attempt in range(1, READ_ATTEMPTS + 1):
+            head = _require_head(self._client).head
+            try:
+                return self._read_pages(head)
+            except ConfigurationDamaged:
+                # Two publications since the head was read have deleted its pages.
+                if attempt == READ_ATTEMPTS:
+                    raise
+        raise ConfigurationMissing('no attempt was made')
+
+    def _read_pages(self, head: Head) -> Configuration:
+        if self._deployment is None or head.pages != self._pages:
+            self._deployment = _read_deployment(self._client, head)
+            self._pages = head.pages
+        deployment = msgspec.structs.replace(
+            self._deployment, operations=head.operations
+        )
+        return Configuration(head.version, deployment)
+
+
+def encode_configuration(configuration: Configuration) -> bytes:
+    """Return `configuration` for transfer to a peer, as MessagePack."""
+    return _page_encoder.encode(configuration)
+
+
+def decode_configuration(payload: bytes) -> Configuration:
+    """Return the configuration that a peer sent.
+
+    Raises
+    ------
+    ConfigurationDamaged
+        If `payload` is no configuration.
+    """
+    try:
+        return _configuration_decoder.decode(payload)
+    except msgspec.MsgspecError as error:
+        raise ConfigurationDamaged(f'configuration of a peer: {error}') from error
+
+
+def encode_pages(deployment: Deployment) -> Iterator[bytes]:
+    """Return the pages of `deployment`, each below the store's limit.
+
+    The first page holds the base. Sites are spread over the others by a hash of
+    their id, so that a change of one site alters one page. A site with very many
+    blocks is cut into fragments.
+
+    Raises
+    ------
+    ConfigurationError
+        If the base alone exceeds the limit.
+    """
+    yield _check_size('base', _page_encoder.encode(Page(base=deployment.base)))
+    fragments = list(_cut_sites(deployment.sites))
+    size = sum(len(_page_encoder.encode(fragment)) for fragment in fragments)
+    # A power of two, so that a small growth does not regroup all sites.
+    count = 1 << (2 * size // PAGE_LIMIT_BYTES).bit_length()
+    for group in _group_fragments(fragments, count):
+        yield from _encode_group(group)
+
+
+def decode_pages(bodies: Iterable[bytes]) -> Deployment:
+    """Return the deployment, without operations, that `bodies` hold.
+
+    Raises
+    ------
+    ConfigurationDamaged
+        If a body is no page, or no page holds the base.
+    """
+    base = None
+    sites: dict[str, list[Site]] = {}
+    for body in bodies:
+        page = _decode_page(body)
+        base = page.base or base
+        for fragment in page.sites:
+            sites.setdefault(fragment.id, []).append(fragment)
+    if base is None:
+        raise ConfigurationDamaged('no page holds the base')
+    joined = [_join_fragments(sites[name]) for name in sorted(sites)]
+    return Deployment(base, tuple(joined))
+
+
+def _decode_page(body: bytes) -> Page:
+    try:
+        return _page_decoder.decode(body)
+    except msgspec.MsgspecError as error:
+        raise ConfigurationDamaged(f'page: {error}') from error
+
+
+def _cut_sites(sites: Iterable[Site]) -> Iterator[Site]:
+    for site in sites:
+        packed = pack_blocks(site)
+        for start in range(0, len(packed) or 1, FRAGMENT_BYTES):
+            part = packed[start : start + FRAGMENT_BYTES]
+            yield msgspec.structs.replace(site, blocks=(), packed_blocks=part)
+
+
+def _group_fragments(fragments: Iterable[Site], count: int) -> list[list[Site]]:
+    groups: list[list[Site]] = [[] for _ in range(count)]
+    for fragment in fragments:
+        groups[xxhash.xxh32_intdigest(fragment.id.encode()) % count].append(fragment)
+    return groups
+
+
+def _encode_group(fragments: list[Site]) -> Iterator[bytes]:
+    page = _page_encoder.encode(Page(sites=tuple(fragments)))
+    if len(page) <= PAGE_LIMIT_BYTES:
+        yield page
+        return
+    middle = len(fragments) // 2
+    yield from _encode_group(fragments[:middle])
+    yield from _encode_group(fragments[middle:])
+
+
+def _join_fragments(fragments: list[Site]) -> Site:
+    packed = b''.join(part.packed_blocks for part in fragments)
+    return msgspec.structs.replace(fragments[0], packed_blocks=packed)
+
+
+def _check_size(name: str, body: bytes) -> bytes:
+    if len(body) > PAGE_LIMIT_BYTES:
+        message = f'{name}: {len(body)} bytes, limit {PAGE_LIMIT_BYTES}'
+        raise ConfigurationError(message)
+    return body
+
+
+def _require_head(client: ObjectStore) -> HeldHead:
+    held = read_head(client)
+    if not held.stored_version:
+        raise ConfigurationMissing(f'{HEAD} is absent: nothing has been published')
+    return held
+
+
+def _read_deployment(client: ObjectStore, head: Head) -> Deployment:
+    return decode_pages(_read_page(client, digest) for digest in head.pages)
+
+
+def _read_page(client: ObjectStore, digest: str) -> bytes:
+    stored = client.get(PAGE_PREFIX + digest)
+    if stored is None or _digest(stored.body) != digest:
+        raise ConfigurationDamaged(f'page {digest} is absent or altered')
+    return stored.body
+
+
+def _write_pages(
+    client: ObjectStore, pages: dict[str, bytes], in_force: Iterable[str]
+) -> None:
+    for digest in pages.keys() - set(in_force):
+        _write_page(client, digest, pages[digest])
+
+
+def _write_page(client: ObjectStore, digest: str, body: bytes) -> None:
+    name = PAGE_PREFIX + digest
+    try:
+        client.put(name, body, 0)
+    except StoreConflict as conflict:
+        # The page exists. Writing it again gives it a new version, which protects
+        # it from a publisher that has listed it as obsolete.
+        client.put(name, body, conflict.current)
+
+
+def _write_head(
+    client: ObjectStore, held: HeldHead, pages: tuple[str, ...], operations: Operations
+) -> int:
+    version = held.head.version + 1
+    head = Head(version, pages, operations, secrets.token_hex(WRITER_BYTES))
+    body = msgspec.json.encode(head)
+    client.put(HEAD, _check_size(HEAD, body), held.stored_version)
+    return version
+
+
+def _delete_obsolete(
+    client: ObjectStore, listed: Iterable[tuple[str, int]], kept: set[str]
+) -> None:
+    """Delete the listed pages that neither the new head nor the last one names.
+
+    A publisher that starts later writes the pages it needs again, so their version
+    differs from the listed one and the conditional delete leaves them. One that
+    started earlier loses the race for the head.
+    """
+    for name, version in listed:
+        if name.removeprefix(PAGE_PREFIX) not in kept:
+            _delete_page(client, name, version)
+
+
+def _delete_page(client: ObjectStore, name: str, version: int) -> None:
+    try:
+        client.delete(name, version)
+    except StoreConflict:
+        return  # Another publisher uses the page.
+
+
+def _digest(body: bytes) -> str:
+    return hashlib.sha256(body).hexdigest()
