Add share holders and ledgers of budgets

Token buckets of shares, demand averages, and allotment by the owner of a budget. Grants carry tokens that the owner's pool gathered: starting a new share with zero tokens left a rare caller of a small team waiting for a refill although the budget was idle.

--- /dev/null
+++ b/currantmast/decisions/allotment.py
@@ -0,0 +1,179 @@
+"""How a budget should be divided between its holders."""
+
+import math
+from collections.abc import Mapping
+
+import msgspec
+
+from currantmast.decisions.sightings import MemberKey
+from currantmast.deployment import Policy, PolicyKind
+
+# Part of a budget that stays with its owner while demand leaves it over, so that
+# sudden demand is met with the next acknowledgement.
+RESERVE_FRACTION = 0.1
+# Demand below this part of an equal share counts as none.
+IDLE_FRACTION = 0.01
+# A holder of units keeps them against others whose demand is barely higher.
+INCUMBENT_WEIGHT = 1.25
+# Units in a burst from which on one is kept in reserve.
+RESERVE_MIN_UNITS = 4
+# A holder without a unit doubles its weight each time that it has waited so long.
+WAIT_WEIGHT_S = 4
+
+
+class Share(msgspec.Struct, frozen=True):
+    """A part of a budget: units per second, and units at once."""
+
+    rate: float = 0
+    burst: float = 0
+
+    def __add__(self, other: 'Share') -> 'Share':
+        """Return both parts together."""
+        return Share(self.rate + other.rate, self.burst + other.burst)
+
+    def limit(self, other: 'Share') -> 'Share':
+        """Return the smaller rate and the smaller burst."""
+        return Share(min(self.rate, other.rate), min(self.burst, other.burst))
+
+    def cover(self, other: 'Share') -> 'Share':
+        """Return the larger rate and the larger burst."""
+        return Share(max(self.rate, other.rate), max(self.burst, other.burst))
+
+
+NO_SHARE = Share()
+
+
+class Terms(msgspec.Struct, frozen=True):
+    """A budget to divide.
+
+    Parameters
+    ----------
+    rate : float
+        Units per second.
+    burst : float
+        Units at once.
+    unit : float
+        Smallest burst that is of use: one request, or one chunk of bytes.
+    """
+
+    rate: float
+    burst: float
+    unit: float = 1
+
+    @property
+    def whole(self) -> Share:
+        """The whole budget as one share."""
+        return Share(self.rate, self.burst)
+
+    @property
+    def units(self) -> int:
+        """Whole units in the burst."""
+        return int(self.burst / self.unit)
+
+
+class Want(msgspec.Struct, frozen=True):
+    """What is known of a holder's need.
+
+    Parameters
+    ----------
+    demand : float
+        Units per second that it would use.
+    waited_s : float
+        Time in seconds that it has had demand but no unit.
+    units : int
+        Units of burst that it holds.
+    """
+
+    demand: float = 0
+    waited_s: float = 0
+    units: int = 0
+
+
+Wants = Mapping[MemberKey, Want]
+
+
+def choose_shares(terms: Terms, wants: Wants, policy: Policy) -> dict[MemberKey, Share]:
+    """Return the share that each holder should have.
+
+    A burst below one unit can never admit a request, so burst is allotted in whole
+    units, and rate only where there is at least one unit. With at least two units
+    for each holder, each has one, with an equal part of the floor. With fewer, units
+    go where the demand is; demand that waits gains weight, so that units go round
+    when there are more users than units. Idle units return to the owner, which
+    hands them out again with the tokens that they have gathered.
+
+    Under the ``plain`` policy all shares are equal, whatever the demand; units that
+    can't be divided go to the first holders in order.
+    """
+    if not wants:
+        return {}
+    if policy.kind is PolicyKind.plain:
+        equal = dict.fromkeys(wants, 1.0)
+        units = divide_units(terms.units, equal)
+        return _combine(terms, units, _divide_rate(terms.rate, equal, units))
+    units = _choose_units(terms, wants)
+    return _combine(terms, units, _choose_rates(terms, wants, units, policy))
+
+
+def divide_units(
+    count: int, weights: Mapping[MemberKey, float]
+) -> dict[MemberKey, int]:
+    """Return `count` whole units divided by weight, by the largest remainder."""
+    total = sum(weights.values())
+    if total <= 0:
+        return dict.fromkeys(weights, 0)
+    quotas = {key: count * weight / total for key, weight in weights.items()}
+    units = {key: int(quota) for key, quota in quotas.items()}
+    by_remainder = sorted(quotas, key=lambda key: (units[key] - quotas[key], key))
+    for key in by_remainder[: count - sum(units.values())]:
+        units[key] += 1
+    return units
+
+
+def _choose_units(terms: Terms, wants: Wants) -> dict[MemberKey, int]:
+    base = 1 if terms.units >= 2 * len(wants) else 0
+    reserve = 0
+    if terms.units >= RESERVE_MIN_UNITS:
+        reserve = math.ceil(terms.units * RESERVE_FRACTION)
+    idle_limit = IDLE_FRACTION * terms.rate / len(wants)
+    weights = {
+        key: _weigh(want) if want.demand > idle_limit else 0
+        for key, want in wants.items()
+    }
+    spare = max(0, terms.units - reserve - base * len(wants))
+    return {key: base + more for key, more in divide_units(spare, weights).items()}
+
+
+def _weigh(want: Want) -> float:
+    if want.units:
+        return want.demand * INCUMBENT_WEIGHT
+    return want.demand * (1 + want.waited_s / WAIT_WEIGHT_S)
+
+
+def _choose_rates(
+    terms: Terms, wants: Wants, units: Mapping[MemberKey, int], policy: Policy
+) -> dict[MemberKey, float]:
+    floor = policy.floor_share * terms.rate
+    demands = {key: want.demand for key, want in wants.items()}
+    unused = max(0, terms.rate - floor - sum(demands.values()))
+    reserve = min(RESERVE_FRACTION * terms.rate, unused)
+    floors = _divide_rate(floor, dict.fromkeys(wants, 1.0), units)
+    rates = _divide_rate(terms.rate - floor - reserve, demands, units)
+    return {key: floors[key] + rates[key] for key in wants}
+
+
+def _divide_rate(
+    rate: float, weights: Mapping[MemberKey, float], units: Mapping[MemberKey, int]
+) -> dict[MemberKey, float]:
+    """Return `rate` divided by weight over the holders of units."""
+    useful = {key: weight if units[key] else 0 for key, weight in weights.items()}
+    total = sum(useful.values())
+    if total <= 0:
+        return dict.fromkeys(weights, 0)
+    return {key: rate * weight / total for key, weight in useful.items()}
+
+
+def _combine(
+    terms: Terms, units: Mapping[MemberKey, int], rates: Mapping[MemberKey, float]
+) -> dict[MemberKey, Share]:
+    return {key: Share(rates[key], units[key] * terms.unit) for key in units}
--- /dev/null
+++ b/currantmast/decisions/buckets.py
@@ -0,0 +1,133 @@
+"""A token bucket whose rate and burst change, and a meter of demand."""
+
+import math
+
+from currantmast.clocks import Clock
+
+# Time after a take within which tokens may be given back.
+GIVE_BACK_WINDOW_S = 5
+# Time constant of the demand average: short enough to show new demand within one
+# heartbeat, long enough that an occasional user keeps its share for some seconds.
+DEMAND_TIME_CONSTANT_S = 2
+
+
+class TokenBucket:
+    """Tokens that refill at `rate` up to `burst`, by the clock, on use.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of monotonic time.
+    """
+
+    __slots__ = (
+        '_burst',
+        '_clock',
+        '_low_before',
+        '_low_now',
+        '_low_since',
+        '_rate',
+        '_refilled_at',
+        '_tokens',
+    )
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._rate: float = 0
+        self._burst: float = 0
+        self._tokens: float = 0
+        self._refilled_at = clock.now()
+        self._low_now: float = 0
+        self._low_before: float = 0
+        self._low_since = self._refilled_at
+
+    def __repr__(self) -> str:
+        """Return the state of the bucket at its last refill."""
+        return (
+            f'<TokenBucket {self._tokens:.2f} of {self._burst:g} at {self._rate:g}/s>'
+        )
+
+    def resize(self, rate: float, burst: float) -> None:
+        """Change rate and burst from now on.
+
+        A lower burst truncates the tokens; a higher one adds none.
+        """
+        self._refill()
+        self._rate = max(0, rate)
+        self._burst = max(0, burst)
+        self._tokens = min(self._tokens, self._burst)
+        self._note_headroom()
+
+    def count(self) -> float:
+        """Return the tokens available now."""
+        self._refill()
+        return self._tokens
+
+    def take(self, amount: float) -> bool:
+        """Remove `amount` tokens if there are as many."""
+        if self.count() < amount:
+            return False
+        self._tokens -= amount
+        return True
+
+    def add(self, amount: float) -> None:
+        """Add tokens handed over by another bucket, up to the burst."""
+        self._tokens = min(self._burst, self.count() + amount)
+        self._note_headroom()
+
+    def give_back(self, amount: float) -> None:
+        """Return tokens of a take made in the last `GIVE_BACK_WINDOW_S`.
+
+        No more than the least headroom since then is returned: had the tokens not
+        been taken, the bucket would have overflowed by the rest. So the bucket never
+        holds more than without the take, and the bound on admissions still holds.
+        """
+        self._refill()
+        headroom = min(self._low_before, self._low_now)
+        self._tokens += min(amount, headroom)
+        self._note_headroom()
+
+    def _refill(self) -> None:
+        now = self._clock.now()
+        refilled = self._tokens + (now - self._refilled_at) * self._rate
+        self._tokens = min(self._burst, refilled)
+        self._refilled_at = now
+        if now - self._low_since > GIVE_BACK_WINDOW_S:
+            self._low_before = self._low_now
+            self._low_now = self._burst - self._tokens
+            self._low_since = now
+        self._note_headroom()
+
+    def _note_headroom(self) -> None:
+        self._low_now = min(self._low_now, self._burst - self._tokens)
+
+
+class DemandMeter:
+    """Exponentially weighted average of the units asked for.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of monotonic time.
+    """
+
+    __slots__ = ('_clock', '_noted_at', '_rate')
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._rate: float = 0
+        self._noted_at = clock.now()
+
+    def __repr__(self) -> str:
+        """Return the average at its last change."""
+        return f'<DemandMeter {self._rate:.3f}/s>'
+
+    def note(self, amount: float) -> None:
+        """Count `amount` units asked for now."""
+        self._rate = self.measure() + amount / DEMAND_TIME_CONSTANT_S
+        self._noted_at = self._clock.now()
+
+    def measure(self) -> float:
+        """Return the average in units per second."""
+        elapsed = self._clock.now() - self._noted_at
+        return self._rate * math.exp(-elapsed / DEMAND_TIME_CONSTANT_S)
--- a/currantmast/messages.py
+++ b/currantmast/messages.py
@@ -140,6 +140,8 @@
         Units per second.
     burst : float
         Units that may be used at once.
+    tokens : float
+        Units that the owner hands over with an added burst, once.
     """
 
     budget: str
@@ -147,6 +149,7 @@
     sequence: int
     rate: float
     burst: float
+    tokens: float = 0
 
 
 class Capacity(msgspec.Struct, frozen=True, array_like=True):
