--- a/currantmast/standins/serving.py
+++ b/currantmast/standins/serving.py
@@ -1,12 +1,13 @@
 """HTTP plumbing that all stand-ins share."""
 
+import struct
 import sys
 from collections.abc import Callable, Iterable, Iterator
 from contextlib import contextmanager
 from functools import partial
 from http import HTTPStatus
 from pathlib import Path
-from socket import SHUT_RDWR
+from socket import SHUT_RDWR, SO_LINGER, SOL_SOCKET
 from typing import Any, TypeVar
 from urllib.parse import parse_qsl
 
@@ -22,6 +23,8 @@
 DEFAULT_CONNECTIONS = 10_000
 # A target that restarts after a crash must get a burst of reconnects queued.
 BACKLOG = 1024
+# Lingering for no time makes the kernel send a reset.
+RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
 Environ = dict[str, Any]
 Settings = TypeVar('Settings', bound=msgspec.Struct)
@@ -114,6 +117,68 @@
         return environ
 
 
+class StandinServer(WSGIServer):
+    """HTTP server that can break off all its connections.
+
+    Parameters
+    ----------
+    address : Address
+        Listening address; port 0 lets the kernel choose.
+    answer : callable
+        Maps a `Request` to a `Reply` or `NoReply`.
+    connections : int
+        Connections held at once; more wait in the listening queue.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        answer: Answerer,
+        connections: int = DEFAULT_CONNECTIONS,
+    ) -> None:
+        self.connections: set[Any] = set()
+        super().__init__(
+            (address.host, address.port),
+            partial(_respond, answer),
+            backlog=BACKLOG,
+            spawn=Pool(connections),
+            log=None,
+            error_log=None,
+            handler_class=_Handler,
+        )
+
+    def get_bound(self) -> Address:
+        """Return the address that the server listens on."""
+        host, port = self.socket.getsockname()[:2]
+        return Address(host, port)
+
+    def do_handle(self, connection: Any, peer: Any) -> None:
+        """Serve an accepted connection."""
+        self.connections.add(connection)
+        super().do_handle(connection, peer)
+
+    def do_close(self, connection: Any, peer: Any) -> None:
+        """Close a connection that has been served."""
+        self.connections.discard(connection)
+        super().do_close(connection, peer)
+
+    def abort(self) -> None:
+        """Stop listening, reset all connections and end their handlers."""
+        self.close()
+        for connection in tuple(self.connections):
+            _reset(connection)
+        self.stop(timeout=0)
+
+
+def _reset(connection: Any) -> None:
+    # Without the shutdown, pywsgi answers 500 when its handler is ended.
+    try:
+        connection.setsockopt(SOL_SOCKET, SO_LINGER, RESET_ON_CLOSE)
+        connection.shutdown(SHUT_RDWR)
+    except OSError:
+        return
+
+
 def _respond(
     answer: Answerer, environ: Environ, start_response: Callable[..., object]
 ) -> Iterable[bytes]:
@@ -130,48 +195,17 @@
             return (b'',)
 
 
-def make_server(
-    address: Address, answer: Answerer, connections: int = DEFAULT_CONNECTIONS
-) -> WSGIServer:
-    """Return an HTTP server that is not started.
-
-    Parameters
-    ----------
-    address : Address
-        Listening address; port 0 lets the kernel choose.
-    answer : callable
-        Maps a `Request` to a `Reply` or `NoReply`.
-    connections : int
-        Connections held at once; more wait in the listening queue.
-    """
-    return WSGIServer(
-        (address.host, address.port),
-        partial(_respond, answer),
-        backlog=BACKLOG,
-        spawn=Pool(connections),
-        log=None,
-        error_log=None,
-        handler_class=_Handler,
-    )
-
-
 @contextmanager
 def serve(address: Address, answer: Answerer) -> Iterator[Address]:
     """Serve `answer` while the context is open; yields the bound address."""
-    server = make_server(address, answer)
+    server = StandinServer(address, answer)
     server.start()
     try:
-        yield get_address(server)
+        yield server.get_bound()
     finally:
         server.stop(timeout=0)
 
 
-def get_address(server: WSGIServer) -> Address:
-    """Return the address that `server` is bound to."""
-    host, port = server.socket.getsockname()[:2]
-    return Address(host, port)
-
-
 def reply_json(status: int, content: object, **headers: str) -> Reply:
     """Return a JSON answer; underscores in header names become hyphens."""
     named = tuple((name.replace('_', '-'), text) for name, text in headers.items())
