--- a/currantmast/experiment/records.py
+++ b/currantmast/experiment/records.py
@@ -83,8 +83,10 @@
         ``Team`` header, empty when none came.
     started, ended : float
         Monotonic seconds; `ended` is infinite while the request runs.
-    header_values : tuple of str
-        Values of all headers.
+    outcome : str
+        How the run ended, in the words of the target.
+    key_seen : bool
+        Whether a header held a key or was an Authorization header.
     """
 
     target: str
@@ -95,7 +97,8 @@
     ended: float
     request_id: str = ''
     team: str = ''
-    header_values: tuple[str, ...] = ()
+    outcome: str = 'done'
+    key_seen: bool = False
 
 
 class Drain(msgspec.Struct, frozen=True):
