Name the publishing version in each page

Cause: the store counts an object's versions from 1 again after a deletion, so a paused publisher could delete a page that had been deleted and published again meanwhile.

Ruled out: touching pages that are used again; a version counted anew still matches. Each page now holds the version that first named it, so the name of a deleted page never comes back. A failure while deleting old pages no longer fails the publication.

--- a/currantmast/publication.py
+++ b/currantmast/publication.py
@@ -2,12 +2,16 @@
 
 ``config/head`` names the version, the pages and the operations. Pages are named by
 their digest and never change. Every change is one conditional update of the head.
+
+The store counts versions of an object from 1 again after a deletion. Each page
+therefore holds the configuration version that first named it, so that the name of a
+deleted page never comes back and a late deletion cannot hit a page in use.
 """
 
 import hashlib
 import secrets
 from collections.abc import Callable, Iterable, Iterator
-from typing import Protocol
+from typing import Any, Protocol
 
 import msgspec
 import xxhash
@@ -26,6 +30,7 @@
     ConfigurationError,
     ConfigurationMissing,
     StoreConflict,
+    StoreError,
 )
 from currantmast.operations import check_operations
 
@@ -37,19 +42,11 @@
 READ_ATTEMPTS = 3
 
 
-class StoredObject(Protocol):
-    """What a get of the object API returns."""
-
-    name: str
-    version: int
-    body: bytes
-
-
 class ObjectStore(Protocol):
-    """The part of the object API's client that publication uses."""
+    """The part of `runtime.store.ObjectClient` that publication uses."""
 
-    def get(self, name: str) -> StoredObject | None:
-        """Return the object, None if it is absent."""
+    def get(self, name: str) -> Any:
+        """Return the object with its version and body, None if it is absent."""
 
     def put(self, name: str, body: bytes, if_version: int) -> int:
         """Write the object if its version is `if_version`; return the new one."""
@@ -57,8 +54,24 @@
     def delete(self, name: str, if_version: int) -> None:
         """Delete the object if its version is `if_version`."""
 
-    def list(self, prefix: str) -> Iterable[tuple[str, int]]:
-        """Return name and version of the objects whose name starts with `prefix`."""
+    def list(self, prefix: str) -> Any:
+        """Return a listing whose `entries` have names and versions."""
+
+
+class PageReference(Section, frozen=True):
+    """A page that a head names.
+
+    Parameters
+    ----------
+    digest : str
+        SHA-256 of the page, which names its object.
+    content : str
+        SHA-256 of the page without the version that first named it, by which a
+        publisher finds the pages that need no writing.
+    """
+
+    digest: str
+    content: str
 
 
 class Head(Section, frozen=True):
@@ -68,8 +81,8 @@
     ----------
     version : int
         Number of the configuration; each change adds one.
-    pages : tuple of str
-        Digests of the pages, in order.
+    pages : tuple of PageReference
+        The pages, in order.
     operations : Operations
         Changes that operators made.
     writer : str
@@ -78,14 +91,25 @@
     """
 
     version: int
-    pages: tuple[str, ...]
+    pages: tuple[PageReference, ...]
     operations: Operations
     writer: str
 
 
 class Page(msgspec.Struct, frozen=True, omit_defaults=True):
-    """Part of a deployment: the base, or fragments of sites."""
+    """Part of a deployment: the base, or fragments of sites.
 
+    Parameters
+    ----------
+    base : Base or None
+        The base, in one page only.
+    sites : tuple of Site
+        Sites, or fragments of sites to be joined by their ids.
+    published : int
+        Version of the configuration that first named the page.
+    """
+
+    published: int = 0
     base: Base | None = None
     sites: tuple[Site, ...] = ()
 
@@ -129,13 +153,12 @@
         If the store failed.
     """
     # Pages are listed before the head is read: see `_delete_obsolete`.
-    listed = tuple(client.list(PAGE_PREFIX))
+    listed = client.list(PAGE_PREFIX).entries
     held = read_head(client)
     check_operations(held.head.operations, deployment)
-    pages = {_digest(page): page for page in encode_pages(deployment)}
-    _write_pages(client, pages, held.head.pages)
-    version = _write_head(client, held, tuple(pages), held.head.operations)
-    _delete_obsolete(client, listed, {*pages, *held.head.pages})
+    references = _write_pages(client, held.head, list_pages(deployment))
+    version = _write_head(client, held, references, held.head.operations)
+    _delete_obsolete(client, listed, (*references, *held.head.pages))
     return version
 
 
@@ -220,7 +243,7 @@
 
     def __init__(self, client: ObjectStore) -> None:
         self._client = client
-        self._pages: tuple[str, ...] = ()
+        self._pages: tuple[PageReference, ...] = ()
         self._deployment: Deployment | None = None
 
     def read(self) -> Configuration:
@@ -274,25 +297,20 @@
         raise ConfigurationDamaged(f'configuration of a peer: {error}') from error
 
 
-def encode_pages(deployment: Deployment) -> Iterator[bytes]:
+def list_pages(deployment: Deployment) -> Iterator[Page]:
     """Return the pages of `deployment`, each below the store's limit.
 
     The first page holds the base. Sites are spread over the others by a hash of
     their id, so that a change of one site alters one page. A site with very many
     blocks is cut into fragments.
-
-    Raises
-    ------
-    ConfigurationError
-        If the base alone exceeds the limit.
     """
-    yield _check_size('base', _page_encoder.encode(Page(base=deployment.base)))
+    yield Page(base=deployment.base)
     fragments = list(_cut_sites(deployment.sites))
     size = sum(len(_page_encoder.encode(fragment)) for fragment in fragments)
     # A power of two, so that a small growth does not regroup all sites.
     count = 1 << (2 * size // PAGE_LIMIT_BYTES).bit_length()
     for group in _group_fragments(fragments, count):
-        yield from _encode_group(group)
+        yield from _divide_group(group)
 
 
 def decode_pages(bodies: Iterable[bytes]) -> Deployment:
@@ -338,14 +356,14 @@
     return groups
 
 
-def _encode_group(fragments: list[Site]) -> Iterator[bytes]:
-    page = _page_encoder.encode(Page(sites=tuple(fragments)))
-    if len(page) <= PAGE_LIMIT_BYTES:
+def _divide_group(fragments: list[Site]) -> Iterator[Page]:
+    page = Page(sites=tuple(fragments))
+    if len(_page_encoder.encode(page)) <= PAGE_LIMIT_BYTES:
         yield page
         return
     middle = len(fragments) // 2
-    yield from _encode_group(fragments[:middle])
-    yield from _encode_group(fragments[middle:])
+    yield from _divide_group(fragments[:middle])
+    yield from _divide_group(fragments[middle:])
 
 
 def _join_fragments(fragments: list[Site]) -> Site:
@@ -368,7 +386,7 @@
 
 
 def _read_deployment(client: ObjectStore, head: Head) -> Deployment:
-    return decode_pages(_read_page(client, digest) for digest in head.pages)
+    return decode_pages(_read_page(client, page.digest) for page in head.pages)
 
 
 def _read_page(client: ObjectStore, digest: str) -> bytes:
@@ -379,24 +397,36 @@
 
 
 def _write_pages(
-    client: ObjectStore, pages: dict[str, bytes], in_force: Iterable[str]
-) -> None:
-    for digest in pages.keys() - set(in_force):
-        _write_page(client, digest, pages[digest])
-
-
-def _write_page(client: ObjectStore, digest: str, body: bytes) -> None:
+    client: ObjectStore, head: Head, pages: Iterable[Page]
+) -> tuple[PageReference, ...]:
+    in_force = {reference.content: reference for reference in head.pages}
+    references = []
+    for page in pages:
+        content = _digest(_page_encoder.encode(page))
+        known = in_force.get(content)
+        if known is None:
+            stamped = msgspec.structs.replace(page, published=head.version + 1)
+            known = PageReference(_write_page(client, stamped), content)
+        references.append(known)
+    return tuple(references)
+
+
+def _write_page(client: ObjectStore, page: Page) -> str:
+    body = _page_encoder.encode(page)
+    digest = _digest(body)
     name = PAGE_PREFIX + digest
     try:
-        client.put(name, body, 0)
-    except StoreConflict as conflict:
-        # The page exists. Writing it again gives it a new version, which protects
-        # it from a publisher that has listed it as obsolete.
-        client.put(name, body, conflict.current)
+        client.put(name, _check_size(name, body), 0)
+    except StoreConflict:
+        return digest  # A publisher of the same version wrote the same page.
+    return digest
 
 
 def _write_head(
-    client: ObjectStore, held: HeldHead, pages: tuple[str, ...], operations: Operations
+    client: ObjectStore,
+    held: HeldHead,
+    pages: tuple[PageReference, ...],
+    operations: Operations,
 ) -> int:
     version = held.head.version + 1
     head = Head(version, pages, operations, secrets.token_hex(WRITER_BYTES))
@@ -406,24 +436,25 @@
 
 
 def _delete_obsolete(
-    client: ObjectStore, listed: Iterable[tuple[str, int]], kept: set[str]
+    client: ObjectStore, listed: Iterable[Any], kept: Iterable[PageReference]
 ) -> None:
     """Delete the listed pages that neither the new head nor the last one names.
 
-    A publisher that starts later writes the pages it needs again, so their version
-    differs from the listed one and the conditional delete leaves them. One that
-    started earlier loses the race for the head.
+    The pages were listed before the head was read, so a page of a publisher that
+    started later is not among them; one that started earlier has lost the race.
+    Readers may still be fetching the pages of the last head.
     """
-    for name, version in listed:
-        if name.removeprefix(PAGE_PREFIX) not in kept:
-            _delete_page(client, name, version)
+    names = {PAGE_PREFIX + reference.digest for reference in kept}
+    for entry in listed:
+        if entry.name not in names:
+            _delete_page(client, entry.name, entry.version)
 
 
 def _delete_page(client: ObjectStore, name: str, version: int) -> None:
     try:
         client.delete(name, version)
-    except StoreConflict:
-        return  # Another publisher uses the page.
+    except StoreError:
+        return  # The publication is complete; the next one deletes the page.
 
 
 def _digest(body: bytes) -> str:
