--- a/currantmast/deployment.py
+++ b/currantmast/deployment.py
@@ -114,6 +114,12 @@
         Largest request body.
     open_to_all : bool
         Whether requests without a key are served.
+    queue_limit : int
+        Requests that wait for a slot of one owner at most.
+    typical_ms, typical_bytes : int
+        Usual time of a request on a target, and bytes of request and response
+        together. Only `validation` uses them, to tell what a region or a link can
+        carry.
     """
 
     id: Identifier
@@ -122,6 +128,8 @@
     max_body_bytes: Count = 1_048_576
     open_to_all: bool = False
     queue_limit: Count = 64
+    typical_ms: Count = 50
+    typical_bytes: Count = 4096
 
     @property
     def idempotent(self) -> bool:
--- a/currantmast/operations.py
+++ b/currantmast/operations.py
@@ -5,6 +5,7 @@
 
 from msgspec.structs import replace
 
+from currantmast.capacity import estimate_link_rate, estimate_region_rate
 from currantmast.deployment import Deployment, Operations, Shift
 from currantmast.errors import OperationRejected
 from currantmast.inventory import Inventory, Route
@@ -110,6 +111,13 @@
     if Route(shift.source, shift.destination) not in inventory.links:
         reason = f'there is no link from {shift.source} to {shift.destination}'
         raise OperationRejected(f'shift {shift.id}', reason)
+    most = min(
+        estimate_link_rate(inventory, shift.source, shift.destination),
+        estimate_region_rate(inventory, shift.destination),
+    )
+    if shift.cap_rate > most:
+        reason = f'cap {shift.cap_rate:g}/s, {shift.destination} can get {most:.0f}/s'
+        raise OperationRejected(f'shift {shift.id}', reason)
 
 
 def _list_regions(inventory: Inventory) -> frozenset[str]:
--- a/currantmast/publication.py
+++ b/currantmast/publication.py
@@ -33,6 +33,7 @@
     StoreError,
 )
 from currantmast.operations import check_operations
+from currantmast.validation import check_deployment
 
 HEAD = 'config/head'
 PAGE_PREFIX = 'config/page/'
@@ -136,7 +137,7 @@
     client : ObjectStore
         Client of the platform's store.
     deployment : Deployment
-        A deployment that passed `validation`.
+        Deployment to put in force.
 
     Returns
     -------
@@ -145,6 +146,8 @@
 
     Raises
     ------
+    SettingsError
+        If `deployment` contradicts itself, see `validation`.
     StoreConflict
         If another operator changed the configuration meanwhile; nothing is in force.
     OperationRejected
@@ -152,6 +155,7 @@
     StoreError
         If the store failed.
     """
+    check_deployment(deployment)
     # Pages are listed before the head is read: see `_delete_obsolete`.
     listed = client.list(PAGE_PREFIX).entries
     held = read_head(client)
--- a/tests/test_publication.py
+++ b/tests/test_publication.py
@@ -11,6 +11,7 @@
     ConfigurationDamaged,
     ConfigurationMissing,
     OperationRejected,
+    SettingsError,
     StoreConflict,
     StoreUnavailable,
 )
@@ -60,20 +61,40 @@
 
 
 @pytest.mark.parametrize(
-    ('change', 'rest'),
+    ('change', 'base', 'sites'),
     [
-        (lambda ops: add_drain(ops, 'target:127.1.0.1:8080'), {'pools': []}),
-        (lambda ops: issue_key(ops, 'c' * 64, 'schools'), {'teams': []}),
-        (lambda ops: start_shift(ops, Shift(**SHIFT)), {'links': []}),
+        (
+            lambda ops: add_drain(ops, 'target:127.1.0.1:8080'),
+            alter(BASE, ['pools', 0, 'addresses', 0], '127.1.0.9:8080'),
+            SITES,
+        ),
+        (
+            lambda ops: issue_key(ops, 'c' * 64, 'schools'),
+            alter(BASE, ['teams'], BASE['teams'][:1]),
+            SITES,
+        ),
+        (
+            lambda ops: start_shift(ops, Shift(**SHIFT)),
+            BASE,
+            alter(SITES, [0, 'region'], 'south'),
+        ),
     ],
 )
-def test_base_without_what_an_operation_names_is_rejected(published, change, rest):
+def test_base_without_what_an_operation_names_is_rejected(
+    published, change, base, sites
+):
     publication.change_operations(published, change)
     with pytest.raises(OperationRejected):
-        publication.publish(published, make_deployment({**BASE, **rest}))
+        publication.publish(published, make_deployment(base, sites))
     assert publication.read_configuration(published).version == 2
 
 
+def test_contradictory_deployment_is_not_published(store):
+    with pytest.raises(SettingsError, match='links'):
+        publication.publish(store, make_deployment(alter(BASE, ['links'], [])))
+    assert not store.objects
+
+
 @pytest.mark.parametrize('name', ['region:west', 'target:127.9.9.9:1', 'team:x', 'x'])
 def test_drain_of_an_unknown_part_is_rejected(published, name):
     with pytest.raises(OperationRejected):
