--- /dev/null
+++ b/currantmast/commands/acceptance.py
@@ -0,0 +1,109 @@
+"""Waiting until a stored change is in force everywhere."""
+
+from collections.abc import Callable, Iterable
+
+from currantmast.clocks import Clock
+from currantmast.commands.errors import NotInForce
+from currantmast.commands.printing import show_progress
+from currantmast.commands.statuses import Report, collect_reports, read_fleet
+from currantmast.errors import StoreError, TransportError
+from currantmast.messages import FleetRecord
+from currantmast.publication import ObjectStore
+
+POLL_S = 0.25
+
+Collect = Callable[[FleetRecord], Iterable[Report]]
+
+
+class Acceptance:
+    """Waits for one version of the configuration.
+
+    A version is accepted when every member reports it or a later one, and no removed
+    member may still hold a valid lease.
+
+    Parameters
+    ----------
+    client : ObjectStore
+        Client of the store, for the fleet record.
+    clock : Clock
+        Source of time.
+    collect : callable
+        Returns the reports of the members of a record.
+    """
+
+    __slots__ = ('_client', '_clock', '_collect', '_shown')
+
+    def __init__(
+        self, client: ObjectStore, clock: Clock, collect: Collect = collect_reports
+    ) -> None:
+        self._client = client
+        self._clock = clock
+        self._collect = collect
+        self._shown = ''
+
+    def wait(self, version: int, wait_s: float) -> int:
+        """Wait until `version` is in force and return the number of members.
+
+        Parameters
+        ----------
+        version : int
+            Version of the stored configuration.
+        wait_s : float
+            Longest time to wait, in seconds; 0 looks once.
+
+        Raises
+        ------
+        NotInForce
+            If it is not in force everywhere in that time.
+        """
+        ends_at = self._clock.now() + wait_s
+        while True:
+            reports, late = self._look(version)
+            if not late:
+                return len(reports)
+            self._show(f'version {version}: waiting for {", ".join(late)}')
+            if self._clock.now() >= ends_at:
+                raise NotInForce(version, late)
+            self._clock.sleep(POLL_S)
+
+    def __repr__(self) -> str:
+        """Return the progress last shown."""
+        return f'<Acceptance {self._shown!r}>'
+
+    def _look(self, version: int) -> tuple[list[Report], list[str]]:
+        try:
+            record = read_fleet(self._client)
+        except (StoreError, TransportError) as error:
+            return [], [f'any instance (the fleet record is not readable: {error})']
+        reports = list(self._collect(record))
+        return reports, list_late(reports, version)
+
+    def _show(self, line: str) -> None:
+        if line != self._shown:
+            self._shown = line
+            show_progress(line)
+
+
+def list_late(reports: Iterable[Report], version: int) -> list[str]:
+    """Return what keeps `version` from being accepted, for a person."""
+    late = []
+    expiring: set[str] = set()
+    for report in reports:
+        reason = _explain_lateness(report, version)
+        if reason:
+            late.append(f'{report.member.id} ({reason})')
+        if report.status:
+            expiring.update(report.status.expiring)
+    removed = [f'{name} (removed, lease may be valid)' for name in sorted(expiring)]
+    return late + removed
+
+
+def _explain_lateness(report: Report, version: int) -> str:
+    match report:
+        case Report(status=None):
+            return 'no status'
+        case Report(member, status) if status.incarnation != member.incarnation:
+            return 'restarted'
+        case Report(status=status) if status.version < version:
+            return f'version {status.version}'
+    return ''
--- /dev/null
+++ b/currantmast/commands/errors.py
@@ -0,0 +1,69 @@
+"""Failures of commands, and the exit code of every failure."""
+
+from collections.abc import Iterable
+
+from currantmast.errors import (
+    BlocksOverlap,
+    ConfigurationError,
+    CurrantmastError,
+    SettingsError,
+    StoreConflict,
+    StoreError,
+    TaskFailed,
+    TransportError,
+    ValueTooLarge,
+)
+
+EXIT_FAILED = 1
+EXIT_BAD_INPUT = 2
+EXIT_NOT_IN_FORCE = 3
+EXIT_CONFLICT = 4
+EXIT_UNREACHABLE = 5
+EXIT_TASK_FAILED = 70
+
+
+class NotInForce(CurrantmastError):
+    """A change is stored, but not in force on every instance.
+
+    Parameters
+    ----------
+    version : int
+        Version of the stored configuration.
+    late : iterable of str
+        What has not confirmed the version.
+    """
+
+    def __init__(self, version: int, late: Iterable[str]) -> None:
+        self.version = version
+        self.late = tuple(late)
+        shown = ', '.join(self.late)
+        super().__init__(f'version {version}: stored, not in force on: {shown}')
+
+
+class DeploymentRejected(CurrantmastError):
+    """A deployment contradicts itself; the message lists every contradiction."""
+
+
+BAD_INPUT = (
+    SettingsError,
+    DeploymentRejected,
+    ConfigurationError,
+    BlocksOverlap,
+    ValueTooLarge,
+)
+
+
+def choose_exit_code(failure: CurrantmastError) -> int:
+    """Return the exit code that tells a script of `failure`."""
+    match failure:
+        case NotInForce():
+            return EXIT_NOT_IN_FORCE
+        case StoreConflict():
+            return EXIT_CONFLICT
+        case _ if isinstance(failure, BAD_INPUT):
+            return EXIT_BAD_INPUT
+        case StoreError() | TransportError():
+            return EXIT_UNREACHABLE
+        case TaskFailed():
+            return EXIT_TASK_FAILED
+    return EXIT_FAILED
--- /dev/null
+++ b/currantmast/commands/shifts.py
@@ -0,0 +1,131 @@
+"""Commands on planned shifts."""
+
+from currantmast.commands.changes import Change
+from currantmast.commands.options import DEFAULT_WAIT_S, Task, read_section, take_texts
+from currantmast.deployment import Shift
+from currantmast.errors import OperationRejected
+from currantmast.operations import start_shift, stop_shift
+from currantmast.publication import read_configuration
+
+
+class ShiftCommands:
+    """Move part of a site's traffic to another region, and back."""
+
+    @take_texts('shift', 'site', 'destination', 'store')
+    def start(  # noqa: WPS211 - each argument is an option of the command line
+        self,
+        shift: str,
+        *,
+        site: str,
+        destination: str,
+        fraction: float,
+        cap_rate: float,
+        store: str,
+        wait_s: float = DEFAULT_WAIT_S,
+        json: bool = False,
+    ) -> Task:
+        """Start a shift, or replace the active one of the same id.
+
+        Parameters
+        ----------
+        shift : str
+            Id of the shift.
+        site : str
+            Site whose traffic is moved.
+        destination : str
+            Region that gets it.
+        fraction : float
+            Part of the site's requests, from 0 to 1.
+        cap_rate : float
+            Most requests per second that are moved, at least 2.
+        store : str
+            ip:port of the store.
+        wait_s : float
+            Seconds to wait until the shift is in force.
+        json : bool
+            Write the result as JSON.
+        """
+        fields = {
+            'id': shift,
+            'site': site,
+            'source': '',
+            'destination': destination,
+            'fraction': fraction,
+            'cap_rate': cap_rate,
+        }
+        change = Change(store, wait_s, json)
+        return Task(lambda: _start(change, read_section(fields, Shift)))
+
+    @take_texts('shift', 'store')
+    def stop(
+        self,
+        shift: str,
+        *,
+        store: str,
+        wait_s: float = DEFAULT_WAIT_S,
+        json: bool = False,
+    ) -> Task:
+        """Stop a shift.
+
+        Parameters
+        ----------
+        shift : str
+            Id of the shift.
+        store : str
+            ip:port of the store.
+        wait_s : float
+            Seconds to wait until it is stopped everywhere.
+        json : bool
+            Write the result as JSON.
+        """
+        change = Change(store, wait_s, json)
+        return Task(lambda: change.apply(stop_shift, shift))
+
+    @take_texts('shift', 'store')
+    def watch(
+        self,
+        shift: str,
+        *,
+        store: str,
+        wait_s: float = DEFAULT_WAIT_S,
+        json: bool = False,
+    ) -> Task:
+        """Wait until a shift that was started is in force everywhere.
+
+        Parameters
+        ----------
+        shift : str
+            Id of the shift.
+        store : str
+            ip:port of the store.
+        wait_s : float
+            Seconds to wait.
+        json : bool
+            Write the result as JSON.
+        """
+        change = Change(store, wait_s, json)
+        return Task(lambda: _watch(change, shift))
+
+
+def _start(change: Change, shift: Shift) -> None:
+    with change.open() as client:
+        sites = read_configuration(client).deployment.sites
+    source = next((site.region for site in sites if site.id == shift.site), '')
+    placed = Shift(
+        shift.id,
+        shift.site,
+        source,
+        shift.destination,
+        shift.fraction,
+        shift.cap_rate,
+    )
+    change.apply(start_shift, placed)
+
+
+def _watch(change: Change, name: str) -> None:
+    with change.open() as client:
+        configuration = read_configuration(client)
+        shifts = configuration.deployment.operations.shifts
+        if name not in {shift.id for shift in shifts}:
+            raise OperationRejected(f'watch shift {name}', 'it is not active')
+        change.wait(client, configuration.version)
--- /dev/null
+++ b/currantmast/commands/statuses.py
@@ -0,0 +1,119 @@
+"""What instances report of themselves."""
+
+import msgspec
+from gevent.pool import Pool
+
+from currantmast.errors import TransportError
+from currantmast.exchange import Request, Response, exchange
+from currantmast.lookups import HTTP_OK, Pools
+from currantmast.messages import Address, FleetRecord, Member
+from currantmast.publication import ObjectStore
+from currantmast.runtime.fleet import FLEET, decode_record
+
+
+STATUS_PATH = '/status'
+STATUS_TIMEOUT_S = 2
+PARALLEL_CALLS = 32
+
+
+class ServiceCapacity(msgspec.Struct, frozen=True):
+    """Slots of one service, and requests waiting for them."""
+
+    free: int = 0
+    usable: int = 0
+    queued: int = 0
+
+
+class Status(msgspec.Struct, frozen=True):
+    """The status of an instance, as far as commands use it.
+
+    Parameters
+    ----------
+    expiring : tuple of str
+        Removed members whose lease may still be valid.
+    """
+
+    id: str
+    incarnation: str
+    epoch: int
+    version: int
+    leased: bool
+    lease_reason: str = ''
+    role: str = ''
+    expiring: tuple[str, ...] = ()
+    capacity: dict[str, ServiceCapacity] = {}
+    refused: dict[str, int] = {}
+    drained: tuple[str, ...] = ()
+    store_calls: int = 0
+
+
+class Report(msgspec.Struct, frozen=True):
+    """A member and its status; None when it gave none.
+
+    Parameters
+    ----------
+    problem : str
+        Why there is no status.
+    """
+
+    member: Member
+    status: Status | None = None
+    problem: str = ''
+
+
+class InstanceRejected(TransportError):
+    """An instance answered with another status than 200."""
+
+
+def read_fleet(client: ObjectStore) -> FleetRecord:
+    """Return the fleet record; one without members when the store has none.
+
+    Raises
+    ------
+    StoreError, MessageRejected
+        If the record cannot be read.
+    """
+    stored = client.get(FLEET)
+    return decode_record(stored.body) if stored else FleetRecord(0)
+
+
+def collect_reports(record: FleetRecord) -> list[Report]:
+    """Return the report of every member, asked in parallel."""
+    pools = Pools()
+    workers = Pool(PARALLEL_CALLS)
+    try:
+        return workers.map(lambda member: _ask_member(pools, member), record.members)
+    finally:
+        pools.close()
+
+
+def fetch(pools: Pools, address: Address, path: str) -> bytes:
+    """Return the body of `path` of an instance.
+
+    Raises
+    ------
+    TransportError
+        If the instance does not answer with status 200 in time.
+    """
+    request = Request('GET', path, {})
+    response = exchange(pools.get(str(address)), request, STATUS_TIMEOUT_S)
+    _check_response(response, path)
+    return response.body
+
+
+def _check_response(response: Response, path: str) -> None:
+    if response.status != HTTP_OK:
+        text = response.body.decode(errors='replace')
+        raise InstanceRejected(f'{path}: status {response.status}: {text}')
+
+
+def _ask_member(pools: Pools, member: Member) -> Report:
+    try:
+        body = fetch(pools, member.public, STATUS_PATH)
+    except TransportError as error:
+        return Report(member, problem=str(error) or type(error).__name__)
+    try:
+        status = msgspec.json.decode(body, type=Status)
+    except msgspec.MsgspecError as error:
+        return Report(member, problem=str(error))
+    return Report(member, status)
--- a/currantmast/publication.py
+++ b/currantmast/publication.py
@@ -181,7 +181,8 @@
     Returns
     -------
     int
-        Version of the new configuration.
+        Version of the new configuration, or of the one in force if `change` changed
+        nothing.
 
     Raises
     ------
@@ -198,6 +199,8 @@
     deployment = _read_deployment(client, held.head)
     operations = change(held.head.operations)
     check_operations(operations, deployment)
+    if operations == held.head.operations:
+        return held.head.version
     return _write_head(client, held, held.head.pages, operations)
 
 
