--- a/currantmast/decisions/ownership.py
+++ b/currantmast/decisions/ownership.py
@@ -8,7 +8,7 @@
 
 
 def _weigh(member: Member, key: str) -> tuple[int, str]:
-    return xxhash.xxh3_64_intdigest(f'{member.id}\0{key}'), member.id
+    return xxhash.xxh3_64_intdigest(f'{member.id}\0{key}'.encode()), member.id
 
 
 def choose_owner(
--- a/currantmast/peering.py
+++ b/currantmast/peering.py
@@ -1,17 +1,15 @@
 """Fleet state of one instance: its right to admit, its peers, its shares."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 
 import msgspec
 
+from currantmast.budget_owner import BudgetOwner
 from currantmast.clocks import Clock
 from currantmast.decisions.budgets import ShareHolder, select_grants
-from currantmast.decisions.handover import Handover, must_reopen
+from currantmast.decisions.handover import Handover
 from currantmast.decisions.leases import Lease
-from currantmast.decisions.ledgers import Ledger
-from currantmast.decisions.links import CHUNK_BYTES
 from currantmast.decisions.membership import Observer, supports_lease
-from currantmast.decisions.ownership import choose_owner
 from currantmast.deployment import Policy, Timing
 from currantmast.inventory import Budget
 from currantmast.messages import (
@@ -21,11 +19,9 @@
     HeartbeatAck,
     Member,
     Remaining,
-    ShareGrant,
     Suspect,
 )
 
-LINK_PREFIX = 'link:'
 SILENCE_S = 2.0
 
 
@@ -59,17 +55,14 @@
         self.shares = ShareHolder(clock)
         self.version = 0
         self._clock = clock
-        self._budgets: Mapping[str, Budget] = {}
-        self._policy = Policy()
-        self._ledgers: dict[str, Ledger] = {}
-        self._grants: dict[str, tuple[ShareGrant, ...]] = {}
+        self.budgets = BudgetOwner(clock, member, self.observer, self.handover)
         self._answered_at: dict[str, float] = {}
 
     def __repr__(self) -> str:
         """Return epoch, version and lease."""
         return (
             f'<Peering epoch={self.record.epoch} version={self.version} '
-            f'ledgers={len(self._ledgers)} {self.lease!r}>'
+            f'{self.budgets!r} {self.lease!r}>'
         )
 
     def adopt_record(self, record: FleetRecord) -> bool:
@@ -81,7 +74,7 @@
         self.lease.adopt_record(record, self.member.id, self.member.incarnation)
         self.observer.adopt_record(record)
         self.handover.adopt_record(record)
-        self._follow_ownership(previous if previous.epoch else None)
+        self.budgets.adopt_record(previous, record)
         return True
 
     def adopt_budgets(
@@ -90,13 +83,7 @@
         """Follow the budgets of configuration `version`."""
         self.version = version
         self.lease.set_version(version)
-        self._budgets = {budget.name: budget for budget in budgets}
-        self._policy = policy
-        for name, ledger in self._ledgers.items():
-            budget = self._budgets.get(name)
-            if budget is not None:
-                ledger.resize(budget.rate, budget.burst)
-        self._follow_ownership(self.record)
+        self.budgets.adopt_budgets(budgets, policy)
 
     def make_heartbeat(self, report: Report) -> Heartbeat:
         """Return the heartbeat to send now."""
@@ -118,7 +105,7 @@
         """Learn from the heartbeat of a peer and return the acknowledgement."""
         self.observer.observe_heartbeat(heartbeat)
         self.lease.observe_version(heartbeat.version)
-        self._observe_shares(heartbeat)
+        self.budgets.observe_heartbeat(heartbeat)
         renews = supports_lease(
             self.record, self.member.id, self.member.incarnation, heartbeat
         )
@@ -130,7 +117,7 @@
             echoed_incarnation=heartbeat.incarnation,
             echoed_sent_at=heartbeat.sent_at,
             renews=renews,
-            grants=self._grants.get(heartbeat.sender, ()),
+            grants=self.budgets.list_grants(heartbeat.sender),
         )
 
     def observe_ack(self, ack: HeartbeatAck) -> bool:
@@ -154,14 +141,10 @@
 
     def allot(self) -> None:
         """Divide the budgets that this instance owns; to be called periodically."""
-        self._grants = {}
-        if not self.lease.is_valid():
-            return
-        for name, ledger in self._ledgers.items():
-            self._expire_holders(ledger)
-            if self.handover.is_settled(name):
-                self._observe_own(name, ledger)
-                self._collect_grants(name, ledger)
+        if self.lease.is_valid():
+            self.budgets.allot(self.record, self.shares)
+        else:
+            self.budgets.withhold()
 
     def list_silent(self) -> tuple[str, ...]:
         """Return the peers whose connection carried no answer for `SILENCE_S`.
@@ -195,76 +178,3 @@
     def is_witness(self) -> bool:
         """Whether this instance watches the store for the fleet."""
         return self.member.id in self.record.witnesses
-
-    def _observe_shares(self, heartbeat: Heartbeat) -> None:
-        held = {share.budget: share for share in heartbeat.shares}
-        demands = {demand.budget: demand.rate for demand in heartbeat.demands}
-        for name, ledger in self._ledgers.items():
-            ledger.observe(
-                heartbeat.sender,
-                heartbeat.incarnation,
-                held.get(name),
-                demands.get(name, 0),
-                heartbeat.epoch,
-            )
-
-    def _observe_own(self, name: str, ledger: Ledger) -> None:
-        held = {share.budget: share for share in self.shares.list_held()}
-        demands = {demand.budget: demand.rate for demand in self.shares.list_demands()}
-        ledger.observe(
-            self.member.id,
-            self.member.incarnation,
-            held.get(name),
-            demands.get(name, 0),
-            self.record.epoch,
-        )
-
-    def _collect_grants(self, name: str, ledger: Ledger) -> None:
-        for holder_id, grant in ledger.allot(self._list_holders(name)):
-            if holder_id == self.member.id:
-                self.shares.apply(grant)
-            else:
-                earlier = self._grants.get(holder_id, ())
-                self._grants[holder_id] = (*earlier, grant)
-
-    def _list_holders(self, name: str) -> list[Member]:
-        """Return who should hold shares: for a link the members at its source.
-
-        Leaving members are included, since they still serve callers that cached a
-        look-up answer.
-        """
-        if not name.startswith(LINK_PREFIX):
-            return list(self.record.members)
-        source = name.removeprefix(LINK_PREFIX).partition('>')[0]
-        return [member for member in self.record.members if member.region == source]
-
-    def _expire_holders(self, ledger: Ledger) -> None:
-        for key in ledger.list_holders():
-            if self.observer.has_expired(key.id, key.incarnation):
-                ledger.expire(key.id, key.incarnation)
-
-    def _follow_ownership(self, previous: FleetRecord | None) -> None:
-        for name in tuple(self._ledgers):
-            if name not in self._budgets or not self._owns(name):
-                self._ledgers.pop(name)
-        for name, budget in self._budgets.items():
-            if self._owns(name):
-                self._follow_ledger(budget, previous)
-
-    def _follow_ledger(self, budget: Budget, previous: FleetRecord | None) -> None:
-        ledger = self._ledgers.get(budget.name)
-        unchanged = previous is self.record or not must_reopen(
-            previous, self.record, budget.name, self.member.id
-        )
-        if ledger is not None and unchanged:
-            return
-        unit = CHUNK_BYTES if budget.name.startswith(LINK_PREFIX) else 1
-        ledger = Ledger(
-            budget.name, budget.rate, budget.burst, self._clock, self._policy, unit
-        )
-        ledger.open(self.observer.list_unexpired(), self.record.epoch)
-        self._ledgers[budget.name] = ledger
-
-    def _owns(self, name: str) -> bool:
-        owner = choose_owner(self.record, name)
-        return owner is not None and owner.incarnation == self.member.incarnation
--- a/currantmast/publication.py
+++ b/currantmast/publication.py
@@ -45,6 +45,19 @@
     body: bytes
 
 
+class ListedObject(Protocol):
+    """An entry of a listing."""
+
+    name: str
+    version: int
+
+
+class Listing(Protocol):
+    """What a list of the object API returns."""
+
+    entries: tuple[ListedObject, ...]
+
+
 class ObjectStore(Protocol):
     """The part of the object API's client that publication uses."""
 
@@ -57,7 +70,7 @@
     def delete(self, name: str, if_version: int) -> None:
         """Delete the object if its version is `if_version`."""
 
-    def list(self, prefix: str) -> Iterable[tuple[str, int]]:
+    def list(self, prefix: str) -> Listing:
         """Return name and version of the objects whose name starts with `prefix`."""
 
 
@@ -129,7 +142,7 @@
         If the store failed.
     """
     # Pages are listed before the head is read: see `_delete_obsolete`.
-    listed = tuple(client.list(PAGE_PREFIX))
+    listed = client.list(PAGE_PREFIX).entries
     held = read_head(client)
     check_operations(held.head.operations, deployment)
     pages = {_digest(page): page for page in encode_pages(deployment)}
@@ -406,7 +419,7 @@
 
 
 def _delete_obsolete(
-    client: ObjectStore, listed: Iterable[tuple[str, int]], kept: set[str]
+    client: ObjectStore, listed: Iterable[ListedObject], kept: set[str]
 ) -> None:
     """Delete the listed pages that neither the new head nor the last one names.
 
@@ -414,9 +427,9 @@
     differs from the listed one and the conditional delete leaves them. One that
     started earlier loses the race for the head.
     """
-    for name, version in listed:
-        if name.removeprefix(PAGE_PREFIX) not in kept:
-            _delete_page(client, name, version)
+    for entry in listed:
+        if entry.name.removeprefix(PAGE_PREFIX) not in kept:
+            _delete_page(client, entry.name, entry.version)
 
 
 def _delete_page(client: ObjectStore, name: str, version: int) -> None:
--- a/currantmast/steering.py
+++ b/currantmast/steering.py
@@ -12,6 +12,7 @@
 from currantmast.decisions.routing import OwnerView, Route, Router, RouteRequest, Score
 from currantmast.decisions.shifts import FractionCounter, choose_region, name_budget
 from currantmast.deployment import Configuration, Shift, Timing
+from currantmast.directory import Directory, LookupAnswer
 from currantmast.inventory import Inventory
 from currantmast.messages import FleetRecord, Heartbeat, Member
 from currantmast.outcomes import NotRun, Outcome, OutcomeUnknown
@@ -68,6 +69,7 @@
         self.inventory: Inventory | None = None
         self.blocks: BlockTable | None = None
         self._router: Router | None = None
+        self._directory: Directory | None = None
         self._fractions = FractionCounter()
 
     def __repr__(self) -> str:
@@ -85,6 +87,7 @@
             self.blocks = BlockTable.from_sites(configuration.deployment.sites)
         self.configuration = configuration
         self.inventory = inventory
+        self._directory = None
         self._router = Router(base.policy, self.clock, base.links)
         self.retries = RetryBudget(self.clock, base.policy.retry_ratio)
         self.admission.set_configuration(configuration)
@@ -98,6 +101,7 @@
         """Follow a newer fleet record; return whether it was newer."""
         if not self.peering.adopt_record(record):
             return False
+        self._directory = None
         self.targets.adopt_record(record)
         return True
 
@@ -138,6 +142,12 @@
         shifts = self.inventory.list_shifts(site)
         return Origin(site, home, choose_region(home, site, shifts, self._take_shift))
 
+    def find_instances(self, caller: str, origin: Origin) -> LookupAnswer:
+        """Return the instances that `caller` should use, best first."""
+        if self._directory is None:
+            self._directory = Directory(self.peering.record, self.inventory)
+        return self._directory.find(caller, origin.home)
+
     def route(self, request: RouteRequest) -> Route | NotRun:
         """Return the owner to send a request to, or why there is none."""
         return self._router.choose_owner(request, self.list_views(request.service))
@@ -158,9 +168,8 @@
 
     def note_refusal(self, outcome: Outcome) -> None:
         """Count an outcome that is not `Done`, by reason, for status and metrics."""
-        match outcome:
-            case NotRun(reason) | OutcomeUnknown(reason):
-                self.refused[reason.value] += 1
+        if isinstance(outcome, NotRun | OutcomeUnknown):
+            self.refused[outcome.reason.value] += 1
 
     def _find_site(self, caller: str) -> str:
         if self.blocks is None:
