--- a/currantmast/decisions/suspects.py
+++ b/currantmast/decisions/suspects.py
@@ -9,9 +9,9 @@
 from currantmast.clocks import Clock
 from currantmast.messages import Suspect
 
-# Entries remembered; about 1 MB. Beyond them the oldest cleared, then the oldest
+# Entries remembered; about 256 kB. Beyond them the oldest cleared, then the oldest
 # suspected, then the oldest quarantined ones are forgotten.
-MAX_ENTRIES = 4096
+MAX_ENTRIES = 1024
 
 # Seconds after which a suspect that was not sent again is forgotten.
 SUSPECT_S = 600
--- a/currantmast/decisions/target_load.py
+++ b/currantmast/decisions/target_load.py
@@ -123,8 +123,13 @@
         """Return the newest report."""
         return f'<ReportedLoad foreign={self.count_foreign()} {self._report}>'
 
+    def is_late(self, report: LoadReport) -> bool:
+        """Return whether a report that was asked for later has been seen."""
+        newest = self._report
+        return newest is not None and report.requested_at < newest.requested_at
+
     def observe(self, report: LoadReport, own: int) -> bool:
-        """Take `report` into account unless a newer one has been seen.
+        """Take `report` into account.
 
         Parameters
         ----------
@@ -139,8 +144,6 @@
             Whether the report shows that the target has ended a drain.
         """
         was_draining = self.is_draining()
-        if self._report and report.requested_at < self._report.requested_at:
-            return False
         self._report = report
         self._foreign = max(0, report.running - max(own, *self._peaks))
         self._peaks = (own, self._peaks[0])
