--- a/currantmast/decisions/ownership.py
+++ b/currantmast/decisions/ownership.py
@@ -8,7 +8,8 @@
 
 
 def _weigh(member: Member, key: str) -> tuple[int, str]:
-    return xxhash.xxh3_64_intdigest(f'{member.id}\0{key}'), member.id
+    name = f'{member.id}\0{key}'.encode()
+    return xxhash.xxh3_64_intdigest(name), member.id
 
 
 def choose_owner(
--- a/currantmast/decisions/shifts.py
+++ b/currantmast/decisions/shifts.py
@@ -66,3 +66,29 @@
         if shift.site == site and shift.source == home and take(shift):
             return shift.destination
     return home
+
+
+class ShiftGate:
+    """Decides for each request whether a shift may move it.
+
+    Parameters
+    ----------
+    take : callable
+        Takes one unit of the named budget, as `budgets.ShareHolder.take` does.
+    """
+
+    __slots__ = ('_counter', '_take')
+
+    def __init__(self, take: Callable[[str], bool]) -> None:
+        self._take = take
+        self._counter = FractionCounter()
+
+    def may_move(self, shift: Shift) -> bool:
+        """Return whether the next request may be moved by `shift`.
+
+        Only requests of the fraction ask for a token, so that the demand of the
+        shift's budget is what the shift would move.
+        """
+        if not self._counter.select(shift.id, shift.fraction):
+            return False
+        return self._take(name_budget(shift))
