Add decisions on claims

Cause: a non-idempotent request with a request key must run at most once, whichever instance its resends reach.

--- /dev/null
+++ b/currantmast/decisions/claimkeys.py
@@ -0,0 +1,87 @@
+"""Request keys: their format, lifetime and partition."""
+
+import re
+from hashlib import sha256
+
+import msgspec
+import xxhash
+
+from currantmast.clocks import Clock
+from currantmast.outcomes import NotRun, Reason
+
+PARTITIONS = 16
+# Largest difference in seconds between wall clocks of hosts that claims tolerate.
+CLOCK_MARGIN_S = 60
+DIGEST_BYTES = 16
+SEPARATOR = '\n'
+_FORMAT = re.compile(r'(\d{1,12})\.([\w-]{1,64})\Z', re.ASCII)
+
+
+class ClaimKey(msgspec.Struct, frozen=True):
+    """Identity of a non-idempotent request over all its resends.
+
+    Parameters
+    ----------
+    team, service : str
+        Team and service of the request.
+    request_key : str
+        ``<unix seconds>.<token>`` as the caller sent it.
+    issued_at : int
+        Unix seconds in the request key.
+    """
+
+    team: str
+    service: str
+    request_key: str
+    issued_at: int
+
+    @property
+    def digest(self) -> bytes:
+        """Digest that identifies the key, 16 bytes."""
+        text = SEPARATOR.join((self.team, self.service, self.request_key))
+        return sha256(text.encode()).digest()[:DIGEST_BYTES]
+
+    @property
+    def partition(self) -> int:
+        """Number of the partition that decides on the key."""
+        return xxhash.xxh64_intdigest(self.digest) % PARTITIONS
+
+
+def parse_claim_key(
+    team: str, service: str, request_key: str, clock: Clock, lifetime_s: float
+) -> ClaimKey | NotRun:
+    """Return the claim key of a request, or the reason to refuse it.
+
+    Parameters
+    ----------
+    team, service : str
+        Team and service of the request.
+    request_key : str
+        Header of the request.
+    clock : Clock
+        Wall clock to check the key against.
+    lifetime_s : float
+        Lifetime of claims in seconds.
+    """
+    match = _FORMAT.match(request_key)
+    if match is None:
+        detail = 'Request-Key: allowed is <unix seconds>.<1 to 64 of A-Z a-z 0-9 _ ->'
+        return NotRun(Reason.bad_request, detail)
+    key = ClaimKey(team, service, request_key, int(match.group(1)))
+    return check_age(key, clock, lifetime_s) or key
+
+
+def check_age(key: ClaimKey, clock: Clock, lifetime_s: float) -> NotRun | None:
+    """Return the reason to refuse `key` because of its time, or None.
+
+    A key is refused a clock margin before its claims may be deleted, so that no host
+    accepts a key whose claim another host has deleted.
+    """
+    age_s = clock.wall() - key.issued_at
+    if age_s > lifetime_s - CLOCK_MARGIN_S:
+        detail = f'Request-Key: {age_s:.0f} s old'
+        return NotRun(Reason.request_key_expired, detail)
+    if age_s < -CLOCK_MARGIN_S:
+        detail = f'Request-Key: {-age_s:.0f} s in the future'
+        return NotRun(Reason.bad_request, detail)
+    return None
--- /dev/null
+++ b/currantmast/decisions/claimrecords.py
@@ -0,0 +1,162 @@
+"""Entries of the claim log, and the answers to a claim."""
+
+import msgspec
+
+from currantmast.errors import CurrantmastError
+
+MAX_RECORDED_BODY_BYTES = 2048
+
+
+class RecordedAnswer(msgspec.Struct, frozen=True, array_like=True):
+    """Answer of the one execution.
+
+    Parameters
+    ----------
+    outcome : str
+        ``done`` or ``unknown``.
+    status : int
+        HTTP status.
+    content_type : str
+        Media type of the body.
+    body : bytes
+        Body, at most 2 KB.
+    truncated : bool
+        Whether the body was longer.
+    """
+
+    outcome: str
+    status: int
+    content_type: str = ''
+    body: bytes = b''
+    truncated: bool = False
+
+    @classmethod
+    def make_done(cls, status: int, content_type: str, body: bytes) -> 'RecordedAnswer':
+        """Return the record of a whole answer."""
+        kept = body[:MAX_RECORDED_BODY_BYTES]
+        return cls('done', status, content_type, kept, len(kept) < len(body))
+
+
+class Fresh(msgspec.Struct, frozen=True, tag='fresh'):
+    """The claim is in the log: the request may be sent, once."""
+
+
+class Repeated(msgspec.Struct, frozen=True, tag='repeated'):
+    """The request ran before; this is its answer."""
+
+    answer: RecordedAnswer
+
+
+class InProgress(msgspec.Struct, frozen=True, tag='in-progress'):
+    """Another attempt holds the claim; it may be running or have died."""
+
+
+class Unavailable(msgspec.Struct, frozen=True, tag='unavailable'):
+    """The claim could not be decided; the request must not be sent."""
+
+    detail: str
+
+
+class Claimed(msgspec.Struct, frozen=True, array_like=True, tag='c'):
+    """An attempt claims a key.
+
+    Parameters
+    ----------
+    digest : bytes
+        Digest of the claim key.
+    attempt : str
+        Token of one attempt to run the request, never used twice.
+    issued_at : int
+        Unix seconds in the request key.
+    """
+
+    digest: bytes
+    attempt: str
+    issued_at: int
+
+
+class Released(msgspec.Struct, frozen=True, array_like=True, tag='r'):
+    """An attempt was certainly not sent, and never will be."""
+
+    digest: bytes
+    attempt: str
+    issued_at: int
+
+
+class Answered(msgspec.Struct, frozen=True, array_like=True, tag='a'):
+    """An attempt ended with an answer."""
+
+    digest: bytes
+    attempt: str
+    issued_at: int
+    answer: RecordedAnswer
+
+
+Operation = Claimed | Released | Answered
+
+
+class ClaimBatch(msgspec.Struct, frozen=True, array_like=True):
+    """One object of the log.
+
+    Parameters
+    ----------
+    partition, sequence : int
+        Place in the log.
+    writer : str
+        Instance and incarnation of the writer.
+    number : int
+        Number of the batch at its writer; makes every batch's bytes unique.
+    written_at : float
+        Wall-clock time of the writer in unix seconds.
+    operations : tuple
+        Entries in order.
+    """
+
+    partition: int
+    sequence: int
+    writer: str
+    number: int
+    written_at: float
+    operations: tuple[Operation, ...]
+
+    @property
+    def name(self) -> str:
+        """Name of the object."""
+        return name_batch(self.partition, self.sequence)
+
+
+class BatchRejected(CurrantmastError):
+    """An object of the claim log can't be decoded."""
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(ClaimBatch)
+
+
+def name_partition(partition: int) -> str:
+    """Return the prefix of a partition's objects."""
+    return f'claims/{partition:02}/'
+
+
+def name_batch(partition: int, sequence: int) -> str:
+    """Return the name of a batch; names sort like sequence numbers."""
+    return f'{name_partition(partition)}{sequence:012}'
+
+
+def encode_batch(batch: ClaimBatch) -> bytes:
+    """Return `batch` as MessagePack."""
+    return _encoder.encode(batch)
+
+
+def decode_batch(body: bytes) -> ClaimBatch:
+    """Return the batch in `body`.
+
+    Raises
+    ------
+    BatchRejected
+        If `body` is no batch.
+    """
+    try:
+        return _decoder.decode(body)
+    except msgspec.MsgspecError as error:
+        raise BatchRejected(str(error)) from error
--- /dev/null
+++ b/currantmast/decisions/claimtables.py
@@ -0,0 +1,149 @@
+"""What the claim log says of each key, and what is still to be written to it."""
+
+from collections.abc import Iterable
+
+from currantmast.decisions.claimrecords import (
+    Answered,
+    Claimed,
+    Fresh,
+    InProgress,
+    Operation,
+    RecordedAnswer,
+    Released,
+    Repeated,
+    Unavailable,
+)
+
+# Operations in one batch; with answers of 2 KB a batch stays below 1 MB.
+MAX_OPERATIONS = 400
+
+Decision = Fresh | Repeated | InProgress | Unavailable
+
+
+class _Entry:
+    """What the log says of one key."""
+
+    __slots__ = ('answer', 'holder', 'issued_at', 'released')
+
+    def __init__(self, issued_at: int) -> None:
+        self.issued_at = issued_at
+        self.holder = ''
+        self.answer: RecordedAnswer | None = None
+        self.released: set[str] = set()
+
+    def apply(self, operation: Operation) -> None:
+        """Apply one operation of the log."""
+        match operation:
+            case Claimed(_, attempt) if not self.holder:
+                self.holder = '' if attempt in self.released else attempt
+            case Released(_, attempt):
+                self.released.add(attempt)
+                if self.holder == attempt and self.answer is None:
+                    self.holder = ''
+            case Answered(_, attempt, _, answer) if self.holder == attempt:
+                self.answer = self.answer or answer
+
+
+class ClaimTable:
+    """State of all keys, as the batches read so far give it."""
+
+    __slots__ = ('_entries',)
+
+    def __init__(self) -> None:
+        self._entries: dict[bytes, _Entry] = {}
+
+    def __repr__(self) -> str:
+        """Return the number of keys."""
+        return f'<ClaimTable keys={len(self._entries)}>'
+
+    def apply(self, operations: Iterable[Operation]) -> None:
+        """Apply the operations of a batch in order."""
+        for operation in operations:
+            entry = self._entries.get(operation.digest)
+            if entry is None:
+                entry = _Entry(operation.issued_at)
+                self._entries[operation.digest] = entry
+            entry.apply(operation)
+
+    def decide(self, digest: bytes) -> Repeated | InProgress | None:
+        """Return what the log says of a key; None if nobody holds it."""
+        entry = self._entries.get(digest)
+        if entry is None or not entry.holder:
+            return None
+        return Repeated(entry.answer) if entry.answer else InProgress()
+
+    def conclude(self, claimed: Claimed) -> Decision:
+        """Return what a claim has come to once its batch is in the log."""
+        entry = self._entries[claimed.digest]
+        if entry.holder == claimed.attempt and entry.answer is None:
+            return Fresh()
+        return self.decide(claimed.digest) or Unavailable('released before')
+
+    def drop_before(self, issued_at: float) -> None:
+        """Forget the keys issued before unix second `issued_at`."""
+        old = [
+            digest
+            for digest, entry in self._entries.items()
+            if entry.issued_at < issued_at
+        ]
+        for digest in old:
+            self._entries.pop(digest)
+
+
+class OperationQueue:
+    """Operations that are not yet known to be in the log."""
+
+    __slots__ = ('_exposed', '_in_flight', '_waiting')
+
+    def __init__(self) -> None:
+        self._waiting: list[Operation] = []
+        self._in_flight: tuple[Operation, ...] = ()
+        self._exposed: set[Claimed] = set()
+
+    def __len__(self) -> int:
+        """Return the number of operations."""
+        return len(self._waiting) + len(self._in_flight)
+
+    def __repr__(self) -> str:
+        """Return the number of operations."""
+        return f'<OperationQueue operations={len(self)}>'
+
+    def has_claim(self, digest: bytes) -> bool:
+        """Return whether a claim of the key waits to be decided."""
+        return any(
+            isinstance(operation, Claimed) and operation.digest == digest
+            for operation in (*self._in_flight, *self._waiting)
+        )
+
+    def add(self, operation: Operation) -> None:
+        """Append an operation."""
+        self._waiting.append(operation)
+
+    def withdraw(self, claimed: Claimed) -> bool:
+        """Drop a claim that can't be in the log; return whether it was dropped."""
+        if claimed not in self._waiting:
+            return False
+        self._waiting.remove(claimed)
+        exposed = claimed in self._exposed
+        self._exposed.discard(claimed)
+        return not exposed
+
+    def take(self) -> tuple[Operation, ...]:
+        """Return the operations for a batch; empty if one is on its way."""
+        if self._in_flight:
+            return ()
+        self._in_flight = tuple(self._waiting[:MAX_OPERATIONS])
+        self._waiting = self._waiting[MAX_OPERATIONS:]
+        claims = (one for one in self._in_flight if isinstance(one, Claimed))
+        self._exposed.update(claims)
+        return self._in_flight
+
+    def finish(self) -> None:
+        """Forget the operations on their way: they are in the log."""
+        self._exposed.difference_update(self._in_flight)
+        self._in_flight = ()
+
+    def restore(self) -> None:
+        """Put the operations on their way back: they may not be in the log."""
+        self._waiting = [*self._in_flight, *self._waiting]
+        self._in_flight = ()
--- a/currantmast/standins/serving.py
+++ b/currantmast/standins/serving.py
@@ -7,7 +7,7 @@
 from functools import partial
 from http import HTTPStatus
 from pathlib import Path
-from socket import SHUT_RDWR, SO_LINGER, SOL_SOCKET
+from socket import IPPROTO_TCP, SHUT_RDWR, SO_LINGER, SOL_SOCKET, TCP_NODELAY
 from typing import Any, TypeVar
 from urllib.parse import parse_qsl
 
@@ -154,6 +154,8 @@
 
     def do_handle(self, connection: Any, peer: Any) -> None:
         """Serve an accepted connection."""
+        # pywsgi sends headers and body apart; Nagle's algorithm would add 40 ms.
+        connection.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
         self.connections.add(connection)
         super().do_handle(connection, peer)
 
