--- a/currantmast/client.py
+++ b/currantmast/client.py
@@ -340,6 +340,7 @@
         refusal = msgspec.json.decode(response.body, type=Refusal)
     except msgspec.MsgspecError:
         return Reason.answer_incomplete, 'the refusal cannot be read'
-    if refusal.reason in Reason:
+    try:
         return Reason(refusal.reason), refusal.detail
-    return Reason.answer_incomplete, f'unknown reason {refusal.reason}'
+    except ValueError:
+        return Reason.answer_incomplete, f'unknown reason {refusal.reason}'
--- /dev/null
+++ b/currantmast/experiment/disturbances.py
@@ -0,0 +1,99 @@
+"""Faults and surges that an experiment applies in the middle of its load."""
+
+from collections.abc import Callable, Iterator
+from contextlib import AbstractContextManager, contextmanager
+from enum import StrEnum
+
+from currantmast.experiment.fleet import LocalFleet
+from currantmast.experiment.load import LoadShape
+
+SURGE_FACTOR = 6
+"""Factor on the calls of the surging team."""
+
+
+class Fault(StrEnum):
+    """What disturbs the middle third of an experiment."""
+
+    none = 'none'
+    store = 'store'
+    instance = 'instance'
+    region = 'region'
+    pause = 'pause'
+    surge = 'surge'
+
+
+Disturbance = Callable[[LocalFleet], AbstractContextManager[None]]
+
+
+def choose_disturbance(fault: Fault) -> Disturbance:
+    """Return the context manager that applies `fault` while it is open."""
+    match fault:
+        case Fault.store:
+            return stop_store
+        case Fault.instance:
+            return kill_instance
+        case Fault.region:
+            return kill_region
+        case Fault.pause:
+            return pause_instance
+        case Fault.none | Fault.surge:
+            return leave_alone
+
+
+def shape_load(shape: LoadShape, fault: Fault, fleet: LocalFleet) -> LoadShape:
+    """Return the load of the middle third."""
+    if fault is not Fault.surge:
+        return shape
+    teams = fleet.plan.deployment.base.teams
+    smallest = min(teams, key=lambda team: team.rate)
+    part = smallest.rate / sum(team.rate for team in teams)
+    return LoadShape(
+        rate=shape.rate * (1 + part * (SURGE_FACTOR - 1)),
+        seconds=shape.seconds,
+        team_factor={smallest.id: SURGE_FACTOR},
+    )
+
+
+@contextmanager
+def leave_alone(fleet: LocalFleet) -> Iterator[None]:
+    """Disturb nothing."""
+    yield
+
+
+@contextmanager
+def stop_store(fleet: LocalFleet) -> Iterator[None]:
+    """Answer every call on the store as unavailable."""
+    fleet.set_store_fault(outage=True)
+    yield
+    fleet.set_store_fault(outage=False)
+
+
+@contextmanager
+def kill_instance(fleet: LocalFleet) -> Iterator[None]:
+    """Kill the first instance of the first region, then start it again."""
+    chosen = fleet.plan.instances[0].id
+    fleet.kill(chosen)
+    yield
+    fleet.restart(chosen)
+
+
+@contextmanager
+def kill_region(fleet: LocalFleet) -> Iterator[None]:
+    """Kill every instance of the last region, then start them again."""
+    region = fleet.plan.instances[-1].region
+    chosen = [plan.id for plan in fleet.plan.instances if plan.region == region]
+    for name in chosen:
+        fleet.kill(name)
+    yield
+    for ended in chosen:
+        fleet.restart(ended, wait=False)
+    fleet.wait_instances()
+
+
+@contextmanager
+def pause_instance(fleet: LocalFleet) -> Iterator[None]:
+    """Stop the first instance with SIGSTOP, then continue it."""
+    chosen = fleet.plan.instances[0].id
+    fleet.pause(chosen)
+    yield
+    fleet.resume(chosen)
--- /dev/null
+++ b/currantmast/experiment/runs.py
@@ -0,0 +1,100 @@
+"""One experiment from the start of a fleet to its report."""
+
+import msgspec
+from msgspec.structs import replace
+
+from currantmast.deployment import Deployment, PolicyKind
+from currantmast.experiment.disturbances import (
+    Fault,
+    choose_disturbance,
+    shape_load,
+)
+from currantmast.experiment.fleet import LocalFleet
+from currantmast.experiment.inspection import collect_executions, inspect_history
+from currantmast.experiment.load import Load, LoadShape
+from currantmast.experiment.measures import measure
+from currantmast.experiment.records import History
+from currantmast.experiment.reports import Report
+from currantmast.loading import load_deployment
+
+PARTS = 3
+"""A run has three equal parts: before, during and after the disturbance."""
+
+
+class RunSettings(msgspec.Struct, frozen=True):
+    """What to run.
+
+    Parameters
+    ----------
+    directory : str
+        Directory of the deployment.
+    seconds : float
+        Length of the load.
+    seed : int
+        Seed of load and keys.
+    rate : float
+        Calls per second, all callers together.
+    policy : PolicyKind
+        Decision policy of the derived deployment.
+    fault : Fault
+        Disturbance of the middle third.
+    command : str
+        Command line, repeated in the report.
+    """
+
+    directory: str
+    seconds: float
+    seed: int
+    rate: float
+    policy: PolicyKind
+    fault: Fault
+    command: str
+
+
+def run_experiment(settings: RunSettings) -> Report:
+    """Start a fleet, send the load and return the report.
+
+    Raises
+    ------
+    CurrantmastError
+        If the deployment is rejected or a process fails.
+    """
+    deployment = derive_policy(load_deployment(settings.directory), settings.policy)
+    with LocalFleet(settings.directory, settings.seed, deployment=deployment) as fleet:
+        history = record_history(fleet, settings)
+        return make_report(settings, fleet, history)
+
+
+def derive_policy(deployment: Deployment, policy: PolicyKind) -> Deployment:
+    """Return `deployment` with another decision policy."""
+    base = deployment.base
+    changed = replace(base, policy=replace(base.policy, kind=policy))
+    return replace(deployment, base=changed)
+
+
+def record_history(fleet: LocalFleet, settings: RunSettings) -> History:
+    """Send the load with its disturbance and return what was recorded."""
+    shape = LoadShape(settings.rate, settings.seconds / PARTS)
+    disturb = choose_disturbance(settings.fault)
+    with Load(fleet.plan, settings.seed) as load:
+        load.run(shape)
+        with disturb(fleet):
+            load.run(shape_load(shape, settings.fault, fleet))
+        load.run(shape)
+        executions = collect_executions(fleet.controls, fleet.plan)
+        return History(calls=load.calls, executions=executions)
+
+
+def make_report(settings: RunSettings, fleet: LocalFleet, history: History) -> Report:
+    """Return the report on `history`."""
+    deployment = fleet.plan.deployment
+    return Report(
+        command=settings.command,
+        seed=settings.seed,
+        policy=settings.policy,
+        fault=settings.fault,
+        rate=settings.rate,
+        seconds=settings.seconds,
+        measures=measure(history, deployment),
+        violations=inspect_history(history, deployment),
+    )
--- a/currantmast/work.py
+++ b/currantmast/work.py
@@ -9,28 +9,30 @@
 
 # Connection-level headers end at each hop; the caller's key must never leave the
 # instance that checked it, in whatever header it came.
-DROPPED_HEADERS = frozenset((
-    'authorization',
-    'proxy-authorization',
-    'cookie',
-    'connection',
-    'keep-alive',
-    'te',
-    'trailer',
-    'transfer-encoding',
-    'upgrade',
-    'host',
-    'expect',
-    'content-length',
-    'team',
-    'entry',
-    'entry-region',
-    'deadline-ms',
-    'request-id',
-    'request-key',
-    'caller-address',
-    'user-agent',
-))
+DROPPED_HEADERS = frozenset(
+    (
+        'authorization',
+        'proxy-authorization',
+        'cookie',
+        'connection',
+        'keep-alive',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        'host',
+        'expect',
+        'content-length',
+        'team',
+        'entry',
+        'entry-region',
+        'deadline-ms',
+        'request-id',
+        'request-key',
+        'caller-address',
+        'user-agent',
+    )
+)
 
 
 class Work(msgspec.Struct, frozen=True):
@@ -102,6 +104,5 @@
     return tuple(
         (name, text)
         for name, text in headers.items()
-        if name not in DROPPED_HEADERS
-        and not any(secret in text for secret in secrets)
+        if name not in DROPPED_HEADERS and not any(secret in text for secret in secrets)
     )
