--- a/currantmast/experiment/load.py
+++ b/currantmast/experiment/load.py
@@ -53,8 +53,12 @@
         Length in seconds.
     team_factor : dict
         Factor on a team's part of the calls, by team; 1 where absent.
-    sites : tuple of str
-        Sites that call; all where empty.
+    teams, sites : tuple of str
+        Teams and sites that call; all where empty.
+    kinds : tuple of ServiceKind
+        Kinds of services that are called; all where empty.
+    keyed : bool
+        Whether orders carry a request key.
     upload_bytes : int
         Size of an upload.
     deadline_s : float
@@ -64,7 +68,10 @@
     rate: float
     seconds: float
     team_factor: dict[str, float] = {}
+    teams: tuple[str, ...] = ()
     sites: tuple[str, ...] = ()
+    kinds: tuple[ServiceKind, ...] = ()
+    keyed: bool = True
     upload_bytes: int = UPLOAD_BYTES
     deadline_s: float = 8
 
@@ -113,6 +120,7 @@
         self._random = random.Random(seed)
         self._numbers = count(1)
         self._group = Group()
+        self._failures: list[BaseException] = []
         self._callers = {caller.name: caller for caller in make_callers(plan)}
 
     def __enter__(self) -> 'Load':
@@ -136,9 +144,12 @@
         choices = list(self._list_choices(shape))
         while due < until:
             gevent.sleep(max(0, due - time.monotonic()))
-            self._group.spawn(self._send, self._draw(choices, shape), shape.deadline_s)
+            work = self._draw(choices, shape)
+            task = self._group.spawn(self._send, work, shape.deadline_s)
+            task.link_exception(self._note_failure)
             due += self._random.expovariate(shape.rate)
         self._group.join(DRAIN_TIMEOUT_S)
+        self._check_failures()
 
     def spawn(self, shape: LoadShape) -> gevent.Greenlet:
         """Run the load in the background and return its task."""
@@ -147,26 +158,31 @@
     def _list_choices(self, shape: LoadShape) -> Iterator['_Choice']:
         services = {item.id: item for item in self._plan.deployment.base.services}
         for caller in self._callers.values():
-            if shape.sites and caller.site.id not in shape.sites:
-                continue
-            factor = shape.team_factor.get(caller.team.id, 1)
             for name in caller.team.services:
-                service = services[name]
-                weight = caller.team.rate * factor * KIND_WEIGHTS[service.kind]
-                yield _Choice(caller, service, weight)
+                choice = _weigh(caller, services[name], shape)
+                if choice.weight:
+                    yield choice
 
     def _draw(self, choices: list['_Choice'], shape: LoadShape) -> Work:
         weights = [choice.weight for choice in choices]
         choice = self._random.choices(choices, weights)[0]
         call_id = f'{self._name}-{next(self._numbers)}'
-        body = make_body(choice.service.kind, call_id, shape.upload_bytes)
-        keyed = choice.service.kind is ServiceKind.order
-        request_key = f'{int(time.time())}.{call_id}' if keyed else ''
+        kind = choice.service.kind
+        body = make_body(kind, call_id, shape.upload_bytes)
+        keyed = shape.keyed and kind is ServiceKind.order
+        request_key = make_request_key(call_id) if keyed else ''
         return Work(call_id, choice.caller, choice.service, body, request_key)
 
     def _send(self, work: Work, deadline_s: float) -> None:
         self.calls.append(make_call(work, deadline_s))
 
+    def _note_failure(self, task: gevent.Greenlet) -> None:
+        self._failures.append(task.exception)
+
+    def _check_failures(self) -> None:
+        if self._failures:
+            raise self._failures[0]
+
 
 class _Choice(msgspec.Struct, frozen=True):
     """A caller and service with its part of the calls."""
@@ -176,6 +192,27 @@
     weight: float
 
 
+def _weigh(caller: Caller, service: Service, shape: LoadShape) -> _Choice:
+    """Return the choice with its weight; 0 where `shape` leaves it out."""
+    wanted = (
+        _is_wanted(caller.team.id, shape.teams),
+        _is_wanted(caller.site.id, shape.sites),
+        _is_wanted(service.kind, shape.kinds),
+    )
+    factor = shape.team_factor.get(caller.team.id, 1)
+    weight = caller.team.rate * factor * KIND_WEIGHTS[service.kind]
+    return _Choice(caller, service, weight * all(wanted))
+
+
+def _is_wanted(name: str, wanted: tuple[str, ...]) -> bool:
+    return not wanted or name in wanted
+
+
+def make_request_key(token: str) -> str:
+    """Return the request key of this second for `token`."""
+    return f'{int(time.time())}.{token}'
+
+
 def make_callers(plan: FleetPlan) -> Iterator[Caller]:
     """Yield one caller for each team at each site."""
     entries = tuple(str(instance.public) for instance in plan.instances)
