--- a/currantmast/experiment/formats.py
+++ b/currantmast/experiment/formats.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from currantmast.deployment import Deployment, ServiceKind
+from currantmast.deployment import Deployment, ServiceKind, Shift
 from currantmast.experiment.controls import Controls
 from currantmast.experiment.plans import (
     FleetPlan,
@@ -186,6 +186,44 @@
     return ('publish', directory, f'--store={store}')
 
 
+def make_drain(name: str) -> tuple[str, ...]:
+    """Return the command that drains ``<kind>:<id>``."""
+    return ('drain', name)
+
+
+def make_undrain(name: str) -> tuple[str, ...]:
+    """Return the command that undoes a drain."""
+    return ('undrain', name)
+
+
+def make_shift(shift: Shift) -> tuple[str, ...]:
+    """Return the command that starts `shift`."""
+    options = {
+        'site': shift.site,
+        'source': shift.source,
+        'destination': shift.destination,
+        'fraction': shift.fraction,
+        'cap_rate': shift.cap_rate,
+    }
+    named = (f'--{name}={given}' for name, given in options.items())
+    return ('shift', 'start', shift.id, *named)
+
+
+def make_shift_stop(shift_id: str) -> tuple[str, ...]:
+    """Return the command that stops a shift."""
+    return ('shift', 'stop', shift_id)
+
+
+def make_issue(team: str, digest: str) -> tuple[str, ...]:
+    """Return the command that issues a key by its digest."""
+    return ('key', 'issue', team, f'--digest={digest}')
+
+
+def make_withdrawal(digest: str) -> tuple[str, ...]:
+    """Return the command that withdraws a key by its digest."""
+    return ('key', 'withdraw', f'--digest={digest}')
+
+
 def _make_target(target: HostedTarget, kind: ServiceKind) -> TargetSettings:
     return TargetSettings(
         service=target.service,
--- a/currantmast/experiment/groups.py
+++ b/currantmast/experiment/groups.py
@@ -27,6 +27,7 @@
     def __init__(self) -> None:
         self.directory = Path(tempfile.mkdtemp(prefix='currantmast-'))
         self._processes: dict[str, Process] = {}
+        self._shown = False
 
     def __enter__(self) -> Self:
         """Start the group's processes."""
@@ -88,9 +89,14 @@
         """End all processes; keep the directory and show the outputs after a failure."""
         for process in self.list_processes():
             process.end()
-        if failure is None:
+        if failure is not None:
+            self.show_outputs()
+        if not self._shown:
             shutil.rmtree(self.directory)
-            return
+
+    def show_outputs(self) -> None:
+        """Log the last lines of every process; keeps the directory after the end."""
+        self._shown = True
         logger.error('event=fleet_failed directory={}', self.directory)
-        for ended in self.list_processes():
-            logger.error('event=output {}', ended.fail('last lines of output'))
+        for process in self.list_processes():
+            logger.error('event=output {}', process.fail('last lines of output'))
--- a/currantmast/experiment/load.py
+++ b/currantmast/experiment/load.py
@@ -148,8 +148,13 @@
             task = self._group.spawn(self._send, work, shape.deadline_s)
             task.link_exception(self._note_failure)
             due += self._random.expovariate(shape.rate)
+        self.join()
+
+    def join(self) -> None:
+        """Wait for the calls that still run; raise the first failure of a caller's task."""
         self._group.join(DRAIN_TIMEOUT_S)
-        self._check_failures()
+        if self._failures:
+            raise self._failures[0]
 
     def spawn(self, shape: LoadShape) -> gevent.Greenlet:
         """Run the load in the background and return its task."""
@@ -179,10 +184,6 @@
     def _note_failure(self, task: gevent.Greenlet) -> None:
         self._failures.append(task.exception)
 
-    def _check_failures(self) -> None:
-        if self._failures:
-            raise self._failures[0]
-
 
 class _Choice(msgspec.Struct, frozen=True):
     """A caller and service with its part of the calls."""
--- a/currantmast/experiment/runs.py
+++ b/currantmast/experiment/runs.py
@@ -1,5 +1,6 @@
 """One experiment from the start of a fleet to its report."""
 
+import gevent
 import msgspec
 from msgspec.structs import replace
 
@@ -13,7 +14,8 @@
 from currantmast.experiment.inspection import collect_executions, inspect_history
 from currantmast.experiment.load import Load, LoadShape
 from currantmast.experiment.measures import measure
-from currantmast.experiment.records import History
+from currantmast.experiment.operators import Operator
+from currantmast.experiment.records import Drain, History
 from currantmast.experiment.reports import Report
 from currantmast.loading import load_deployment
 
@@ -77,12 +79,20 @@
     shape = LoadShape(settings.rate, settings.seconds / PARTS)
     disturb = choose_disturbance(settings.fault)
     with Load(fleet.plan, settings.seed) as load:
+        drained = gevent.spawn_later(shape.seconds / 2, drain_target, fleet)
         load.run(shape)
+        drain = drained.get()
         with disturb(fleet):
             load.run(shape_load(shape, settings.fault, fleet))
         load.run(shape)
         executions = collect_executions(fleet.controls, fleet.plan)
-        return History(calls=load.calls, executions=executions)
+        return History(load.calls, executions, [drain])
+
+
+def drain_target(fleet: LocalFleet) -> Drain:
+    """Drain the first target for the rest of the run; return when it was accepted."""
+    target = fleet.plan.deployment.base.pools[0].addresses[0]
+    return Drain(target, Operator(fleet).drain(f'target:{target}'))
 
 
 def make_report(settings: RunSettings, fleet: LocalFleet, history: History) -> Report:
--- /dev/null
+++ b/tests/integration/__init__.py
@@ -0,0 +1,1 @@
+"""Tests with fleets of real processes."""
--- /dev/null
+++ b/tests/integration/test_drain.py
@@ -0,0 +1,61 @@
+"""A drained target must get no new work, and get work again once the drain is undone."""
+
+import gevent
+
+from currantmast.experiment.inspection import DRAIN_GRACE_S
+from currantmast.experiment.load import LoadShape
+from currantmast.experiment.scenarios import Scenario
+
+RATE = 80
+AFTER_S = 4
+
+
+def test_drained_target_gets_no_new_work(fleet, operator):
+    pool = fleet.plan.deployment.base.pools[0]
+    target = pool.addresses[0]
+    with Scenario(fleet, 'drain', seed=13) as scenario:
+        scenario.start(LoadShape(RATE, DRAIN_GRACE_S + AFTER_S))
+        operator.drain(f'target:{target}')
+        scenario.note_drain(target)
+        scenario.join()
+        assert scenario.inspect() == ()
+        assert {call.outcome for call in scenario.calls} == {'done'}
+        operator.undrain(f'target:{target}')
+
+
+def test_target_gets_work_again_after_the_drain(fleet, operator):
+    target = fleet.plan.deployment.base.pools[0].addresses[0]
+    operator.drain(f'target:{target}')
+    operator.undrain(f'target:{target}')
+    gevent.sleep(1)
+    with Scenario(fleet, 'undrain', seed=14) as scenario:
+        scenario.run(LoadShape(RATE, AFTER_S))
+        assert scenario.inspect() == ()
+        assert target in {run.target for run in scenario.history.executions}
+
+
+def test_target_that_reports_leaving_gets_no_new_work(fleet):
+    target = fleet.plan.deployment.base.pools[1].addresses[0]
+    with Scenario(fleet, 'leaving', seed=15) as scenario:
+        scenario.start(LoadShape(RATE, DRAIN_GRACE_S + AFTER_S))
+        fleet.set_target_fault(target, draining=True)
+        scenario.note_drain(target)
+        scenario.join()
+        fleet.set_target_fault(target, draining=False)
+        assert scenario.inspect() == ()
+
+
+def test_drained_region_gets_no_new_work(fleet, operator):
+    region = fleet.plan.deployment.base.regions[-1].id
+    pools = [p for p in fleet.plan.deployment.base.pools if p.region == region]
+    with Scenario(fleet, 'region', seed=16) as scenario:
+        scenario.start(LoadShape(RATE, DRAIN_GRACE_S + AFTER_S))
+        operator.drain(f'region:{region}')
+        for pool in pools:
+            for target in pool.addresses:
+                scenario.note_drain(target)
+        scenario.join()
+        operator.undrain(f'region:{region}')
+        assert scenario.inspect() == ()
+        refused = [call for call in scenario.calls if call.outcome != 'done']
+        assert refused == []
