--- a/currantmast/experiment/runs.py
+++ b/currantmast/experiment/runs.py
@@ -91,8 +91,8 @@
 
 def drain_target(fleet: LocalFleet) -> Drain:
     """Drain the first target for the rest of the run; return when it was accepted."""
-    target = fleet.plan.deployment.base.pools[0].addresses[0]
-    return Drain(target, Operator(fleet).drain(f'target:{target}'))
+    target = fleet.plan.hosts[0].targets[0].address
+    return Drain(str(target), Operator(fleet).drain(f'target:{target}'))
 
 
 def make_report(settings: RunSettings, fleet: LocalFleet, history: History) -> Report:
