--- a/currantmast/commands/acceptance.py
+++ b/currantmast/commands/acceptance.py
@@ -6,7 +6,7 @@
 from currantmast.commands.errors import NotInForce
 from currantmast.commands.printing import show_progress
 from currantmast.commands.statuses import Report, collect_reports, read_fleet
-from currantmast.errors import StoreError, TransportError
+from currantmast.errors import ConfigurationDamaged, StoreError
 from currantmast.messages import FleetRecord
 from currantmast.publication import ObjectStore
 
@@ -73,7 +73,7 @@
     def _look(self, version: int) -> tuple[list[Report], list[str]]:
         try:
             record = read_fleet(self._client)
-        except (StoreError, TransportError) as error:
+        except (StoreError, ConfigurationDamaged) as error:
             return [], [f'any instance (the fleet record is not readable: {error})']
         reports = list(self._collect(record))
         return reports, list_late(reports, version)
--- a/currantmast/commands/options.py
+++ b/currantmast/commands/options.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 import msgspec
-from fire.decorators import SetParseFn
+from fire import decorators
 
 from currantmast.clocks import LoopClock
 from currantmast.errors import SettingsError
@@ -18,6 +18,10 @@
 DEFAULT_WAIT_S = 10
 
 
+# Fire shows public attributes of a command as commands of their own in its help.
+decorators.FIRE_METADATA = '_fire_metadata'
+
+
 class Task(msgspec.Struct, frozen=True):
     """A command whose arguments are read.
 
@@ -30,7 +34,7 @@
 
 def take_texts(*names: str) -> Callable[[Callable], Callable]:
     """Return a decorator that keeps Fire from reading options as numbers."""
-    return SetParseFn(str, *names)
+    return decorators.SetParseFn(str, *names)
 
 
 def open_store(text: str) -> ObjectClient:
--- a/currantmast/commands/processes.py
+++ b/currantmast/commands/processes.py
@@ -1,9 +1,11 @@
 """Commands that run processes, whose modules are imported only when needed."""
 
+import sys
 from importlib import import_module
 from typing import Any
 
 from currantmast.commands.options import Task, take_texts
+from currantmast.settings import load_settings
 
 
 class StandinCommands:
@@ -30,12 +32,12 @@
 
 
 def run_instance(path: str) -> None:
-    """Run an instance until it is stopped.
+    """Run an instance until it is stopped, then end with its exit code.
 
     Raises
     ------
     SettingsError
         If the settings file is rejected.
     """
-    settings = load('currantmast.settings', 'load_settings')(path)
-    load('currantmast.runtime.process', 'run_instance')(settings)
+    run = load('currantmast.runtime.process', 'run_instance')
+    sys.exit(run(load_settings(path)))
--- a/currantmast/commands/shifts.py
+++ b/currantmast/commands/shifts.py
@@ -1,5 +1,7 @@
 """Commands on planned shifts."""
 
+from msgspec.structs import replace
+
 from currantmast.commands.changes import Change
 from currantmast.commands.options import DEFAULT_WAIT_S, Task, read_section, take_texts
 from currantmast.deployment import Shift
@@ -11,7 +13,7 @@
 class ShiftCommands:
     """Move part of a site's traffic to another region, and back."""
 
-    @take_texts('shift', 'site', 'destination', 'store')
+    @take_texts('shift', 'site', 'source', 'destination', 'store')
     def start(  # noqa: WPS211 - each argument is an option of the command line
         self,
         shift: str,
@@ -21,6 +23,7 @@
         fraction: float,
         cap_rate: float,
         store: str,
+        source: str = '',
         wait_s: float = DEFAULT_WAIT_S,
         json: bool = False,
     ) -> Task:
@@ -40,6 +43,8 @@
             Most requests per second that are moved, at least 2.
         store : str
             ip:port of the store.
+        source : str
+            Home region of the site; without it, it is read from the configuration.
         wait_s : float
             Seconds to wait until the shift is in force.
         json : bool
@@ -48,7 +53,7 @@
         fields = {
             'id': shift,
             'site': site,
-            'source': '',
+            'source': source,
             'destination': destination,
             'fraction': fraction,
             'cap_rate': cap_rate,
@@ -109,17 +114,10 @@
 
 def _start(change: Change, shift: Shift) -> None:
     with change.open() as client:
-        sites = read_configuration(client).deployment.sites
-    source = next((site.region for site in sites if site.id == shift.site), '')
-    placed = Shift(
-        shift.id,
-        shift.site,
-        source,
-        shift.destination,
-        shift.fraction,
-        shift.cap_rate,
-    )
-    change.apply(start_shift, placed)
+        deployment = read_configuration(client).deployment
+    homes = {site.id: site.region for site in deployment.sites}
+    source = shift.source or homes.get(shift.site, '')
+    change.apply(start_shift, replace(shift, source=source))
 
 
 def _watch(change: Change, name: str) -> None:
--- a/currantmast/commands/statuses.py
+++ b/currantmast/commands/statuses.py
@@ -1,29 +1,22 @@
 """What instances report of themselves."""
 
+from typing import Any
+
 import msgspec
 from gevent.pool import Pool
 
-from currantmast.errors import TransportError
+from currantmast.errors import ConfigurationDamaged, TransportError
 from currantmast.exchange import Request, Response, exchange
 from currantmast.lookups import HTTP_OK, Pools
 from currantmast.messages import Address, FleetRecord, Member
 from currantmast.publication import ObjectStore
 from currantmast.runtime.fleet import FLEET, decode_record
 
-
 STATUS_PATH = '/status'
 STATUS_TIMEOUT_S = 2
 PARALLEL_CALLS = 32
 
 
-class ServiceCapacity(msgspec.Struct, frozen=True):
-    """Slots of one service, and requests waiting for them."""
-
-    free: int = 0
-    usable: int = 0
-    queued: int = 0
-
-
 class Status(msgspec.Struct, frozen=True):
     """The status of an instance, as far as commands use it.
 
@@ -41,7 +34,7 @@
     lease_reason: str = ''
     role: str = ''
     expiring: tuple[str, ...] = ()
-    capacity: dict[str, ServiceCapacity] = {}
+    capacity: dict[str, Any] = {}
     refused: dict[str, int] = {}
     drained: tuple[str, ...] = ()
     store_calls: int = 0
@@ -70,11 +63,18 @@
 
     Raises
     ------
-    StoreError, MessageRejected
-        If the record cannot be read.
+    StoreError
+        If the store failed.
+    ConfigurationDamaged
+        If the object is no fleet record.
     """
     stored = client.get(FLEET)
-    return decode_record(stored.body) if stored else FleetRecord(0)
+    if stored is None:
+        return FleetRecord(0)
+    try:
+        return decode_record(stored.body)
+    except msgspec.MsgspecError as error:
+        raise ConfigurationDamaged(f'{FLEET}: {error}') from error
 
 
 def collect_reports(record: FleetRecord) -> list[Report]:
--- a/tests/test_deployment.py
+++ b/tests/test_deployment.py
@@ -1,14 +1,21 @@
 """Loading of deployments and settings: bad input is named precisely."""
 
+from pathlib import Path
+
 import pytest
 from samples import BASE, SHIFT, alter, make_deployment, write_deployment
 
+from currantmast.credentials import CallerKey
 from currantmast.deployment import Operations, Shift
+from currantmast.documents import read_document
 from currantmast.errors import SettingsError
 from currantmast.inventory import Inventory, Route, make_shift_budget
 from currantmast.loading import load_deployment
 from currantmast.messages import Address
 from currantmast.settings import load_settings
+from currantmast.validation import check_deployment
+
+DEPLOYMENTS = Path(__file__).resolve().parent.parent / 'deployments'
 
 SETTINGS = """
 id: fife-1
@@ -172,3 +179,31 @@
     with pytest.raises(SettingsError) as failure:
         load_settings(path)
     assert failure.value.field.startswith(field)
+
+
+@pytest.mark.parametrize(
+    ('firm', 'servers', 'slots', 'connections', 'capacity', 'delay'),
+    [
+        ('yanagawa', (20, 12, 12), (60, 36, 36), 330, 280, 55),
+        ('glenbrae', (16, 12, 12), (80, 48, 36), 360, 4000, 20),
+    ],
+)
+def test_deployments_have_the_sizes_of_the_design_page(
+    firm, servers, slots, connections, capacity, delay
+):
+    directory = DEPLOYMENTS / firm
+    deployment = load_deployment(directory)
+    check_deployment(deployment)
+    base = deployment.base
+    targets = list(Inventory(deployment).targets.values())
+    by_service = [[t for t in targets if t.service == s.id] for s in base.services]
+    assert tuple(len(group) for group in by_service) == servers
+    assert tuple(sum(t.slots for t in group) for group in by_service) == slots
+    assert {target.connections for target in targets} == {connections}
+    assert {(link.capacity_mbit_s, link.delay_ms) for link in base.links} == {
+        (capacity, delay)
+    }
+    assert (len(base.regions), len(base.teams), len(deployment.sites)) == (3, 8, 6)
+    keys = read_document(directory / 'demo-keys.yaml')
+    digests = {team.id: team.key_digests for team in base.teams}
+    assert digests == {team: (CallerKey(key).digest,) for team, key in keys.items()}
