--- a/currantmast/commands/__init__.py
+++ b/currantmast/commands/__init__.py
@@ -188,7 +188,7 @@
     try:
         _run(command)
     except CurrantmastError as failure:
-        sys.stderr.write(f'{failure}\n')
+        sys.stderr.write(f'{type(failure).__name__}: {failure}\n')
         sys.exit(choose_exit_code(failure))
 
 
