--- a/currantmast/experiment/fleet.py
+++ b/currantmast/experiment/fleet.py
@@ -1,5 +1,6 @@
 """A fleet of real processes on loopback addresses, for experiments and tests."""
 
+import signal
 import time
 from pathlib import Path
 from typing import Any
@@ -74,6 +75,14 @@
         """Public addresses of all instances."""
         return tuple(str(instance.public) for instance in self.plan.instances)
 
+    def pause(self, name: str) -> None:
+        """Stop one process with SIGSTOP."""
+        self.get_process(name).send_signal(signal.SIGSTOP)
+
+    def resume(self, name: str) -> None:
+        """Continue a paused process."""
+        self.get_process(name).send_signal(signal.SIGCONT)
+
     def restart(self, instance_id: str, wait: bool = True) -> None:
         """Start an ended instance again, as a new incarnation.
 
@@ -101,7 +110,7 @@
         return run_command(arguments, self.directory, COMMAND_TIMEOUT_S)
 
     def wait_instances(self) -> None:
-        """Wait until every running instance is ready.
+        """Wait until every instance that should run is ready.
 
         Raises
         ------
@@ -110,7 +119,7 @@
         """
         deadline = time.monotonic() + READY_TIMEOUT_S
         for instance in self.plan.instances:
-            if self.get_process(instance.id).is_running():
+            if self.is_up(instance.id):
                 self._wait_instance(instance, deadline)
 
     def start_all(self) -> None:
--- a/currantmast/experiment/groups.py
+++ b/currantmast/experiment/groups.py
@@ -28,6 +28,7 @@
         self.directory = Path(tempfile.mkdtemp(prefix='currantmast-'))
         self._processes: dict[str, Process] = {}
         self._shown = False
+        self._down: set[str] = set()
 
     def __enter__(self) -> Self:
         """Start the group's processes."""
@@ -53,6 +54,22 @@
     def start(self, name: str, *arguments: str) -> None:
         """Start the binary with `arguments` as the process `name`."""
         self._processes[name] = Process(name, arguments, self.directory)
+        self._down.discard(name)
+
+    def is_up(self, name: str) -> bool:
+        """Return whether the process should run: nobody ended it on purpose."""
+        return name not in self._down
+
+    def check_running(self) -> None:
+        """Check that no process ended by itself.
+
+        Raises
+        ------
+        ProcessFailed
+            At the first one that did.
+        """
+        for name in self._processes.keys() - self._down:
+            self.get_process(name).check_running()
 
     def get_process(self, name: str) -> Process:
         """Return the latest process of that name."""
@@ -64,16 +81,9 @@
 
     def kill(self, name: str) -> None:
         """Kill one process without warning."""
+        self._down.add(name)
         self._processes[name].end()
 
-    def pause(self, name: str) -> None:
-        """Stop one process with SIGSTOP."""
-        self._processes[name].send_signal(signal.SIGSTOP)
-
-    def resume(self, name: str) -> None:
-        """Continue a paused process."""
-        self._processes[name].send_signal(signal.SIGCONT)
-
     def terminate(self, name: str) -> int:
         """Ask one process to stop and return its exit code.
 
@@ -82,8 +92,10 @@
         ProcessFailed
             If it still runs after `EXIT_TIMEOUT_S`.
         """
-        self._processes[name].send_signal(signal.SIGTERM)
-        return self._processes[name].wait_exit(EXIT_TIMEOUT_S)
+        self._down.add(name)
+        process = self.get_process(name)
+        process.send_signal(signal.SIGTERM)
+        return process.wait_exit(EXIT_TIMEOUT_S)
 
     def end_all(self, failure: BaseException | None) -> None:
         """End all processes; keep the directory and show the outputs after a failure."""
--- a/currantmast/experiment/runs.py
+++ b/currantmast/experiment/runs.py
@@ -85,13 +85,15 @@
         with disturb(fleet):
             load.run(shape_load(shape, settings.fault, fleet))
         load.run(shape)
+        fleet.check_running()
         executions = collect_executions(fleet.controls, fleet.plan)
         return History(load.calls, executions, [drain])
 
 
 def drain_target(fleet: LocalFleet) -> Drain:
     """Drain the first target for the rest of the run; return when it was accepted."""
-    target = fleet.plan.hosts[0].targets[0].address
+    host = fleet.plan.hosts[0]
+    target = host.targets[0].address
     return Drain(str(target), Operator(fleet).drain(f'target:{target}'))
 
 
--- a/currantmast/experiment/scenarios.py
+++ b/currantmast/experiment/scenarios.py
@@ -100,7 +100,14 @@
         self.history.withdrawals.append(Withdrawal(key, time.monotonic()))
 
     def inspect(self) -> Violations:
-        """Read the executions and return every violation."""
+        """Read the executions and return every violation.
+
+        Raises
+        ------
+        ProcessFailed
+            If a process ended by itself.
+        """
+        self.fleet.check_running()
         self.history.executions = list(self._list_executions())
         deployment = self.fleet.plan.deployment
         return inspect_history(
