--- a/currantmast/experiment/fleet.py
+++ b/currantmast/experiment/fleet.py
@@ -15,10 +15,12 @@
 from currantmast.experiment.processes import (
     POLL_S,
     CommandResult,
+    Process,
     ProcessFailed,
     run_command,
 )
 from currantmast.loading import load_deployment
+from currantmast.messages import Address
 
 READY_TIMEOUT_S = 20
 """Longest time for the start of one process, in seconds."""
@@ -120,7 +122,8 @@
         deadline = time.monotonic() + READY_TIMEOUT_S
         for instance in self.plan.instances:
             if self.is_up(instance.id):
-                self._wait_instance(instance, deadline)
+                process = self.get_process(instance.id)
+                wait_ready(self.controls, process, instance.public, deadline)
 
     def start_all(self) -> None:
         """Start the stand-ins, publish the deployment and start the instances."""
@@ -154,10 +157,19 @@
         path = formats.write_document(self.directory / f'{instance.id}.yaml', document)
         self.start(instance.id, 'instance', path)
 
-    def _wait_instance(self, instance: InstancePlan, deadline: float) -> None:
-        process = self.get_process(instance.id)
-        while not self.controls.is_ok(instance.public, '/health/ready'):
-            process.check_running()
-            if time.monotonic() > deadline:
-                raise process.fail(f'not ready after {READY_TIMEOUT_S} s')
-            gevent.sleep(POLL_S)
+
+def wait_ready(
+    controls: Controls, process: Process, address: Address, deadline: float
+) -> None:
+    """Wait until the instance at `address` says that it is ready.
+
+    Raises
+    ------
+    ProcessFailed
+        If `process` ended, or if `deadline` (monotonic seconds) has passed.
+    """
+    while not controls.is_ok(address, '/health/ready'):
+        process.check_running()
+        if time.monotonic() > deadline:
+            raise process.fail('not ready in time')
+        gevent.sleep(POLL_S)
