--- a/currantmast/commands/__init__.py
+++ b/currantmast/commands/__init__.py
@@ -175,28 +175,6 @@
         change = Change(store, wait_s, json)
         return Task(lambda: change.apply(remove_drain, name))
 
-    def instance(self, settings):
-        from currantmast.runtime.process import run_instance
-        from currantmast.settings import load_settings
-
-        sys.exit(run_instance(load_settings(settings)))
-
-    def standin(self, kind, settings):
-        from currantmast.standins import objects, targets
-
-        {'objects': objects.run_objects, 'targets': targets.run_targets}[kind](settings)
-
-    def publish(self, directory, store):
-        from currantmast.clocks import LoopClock
-        from currantmast.loading import load_deployment
-        from currantmast.messages import Address
-        from currantmast.publication import publish
-        from currantmast.runtime.store import ObjectClient
-
-        host, port = store.split(':')
-        with ObjectClient(Address(host, int(port)), LoopClock()) as client:
-            print(publish(client, load_deployment(directory)))
-
 
 def main(arguments: Sequence[str] | None = None) -> None:
     """Run the command that `arguments`, or those of the process, name.
--- a/currantmast/commands/statuses.py
+++ b/currantmast/commands/statuses.py
@@ -10,7 +10,6 @@
 from currantmast.publication import ObjectStore
 from currantmast.runtime.fleet import FLEET, decode_record
 
-
 STATUS_PATH = '/status'
 STATUS_TIMEOUT_S = 2
 PARALLEL_CALLS = 32
--- a/currantmast/runtime/beating.py
+++ b/currantmast/runtime/beating.py
@@ -76,7 +76,7 @@
             except Empty:
                 self._beat()
                 continue
-            self._handle(message)
+            self._receive(message)
             if clock.now() >= self._schedule.beat_at:
                 self._beat()
 
@@ -85,7 +85,7 @@
             self._steering.clock.now() + self._steering.timing.heartbeat_s
         )
         peering = self._steering.peering
-        self._steering.targets.dispatch_all()
+        self._steering.placement.dispatch_all()
         self._allot()
         peers = peering.list_peers()
         self._link.dial_peers({peer.id: self._resolve(peer) for peer in peers})
@@ -97,7 +97,7 @@
             self._link.send(peer.id, heartbeat)
         self._log_lease()
 
-    def _handle(self, message: ControlMessage) -> None:
+    def _receive(self, message: ControlMessage) -> None:
         match message:
             case Heartbeat():
                 self._answer(message)
--- a/currantmast/runtime/entry.py
+++ b/currantmast/runtime/entry.py
@@ -13,9 +13,9 @@
 from currantmast.errors import (
     AnswerIncomplete,
     CurrantmastError,
-    ExchangeBroken,
     NothingSent,
     ProgressTimeout,
+    TransportError,
 )
 from currantmast.messages import Address
 from currantmast.outcomes import (
@@ -46,7 +46,9 @@
 # Bytes of a request line and headers, counted against a link besides the body.
 HEAD_BYTES = 512
 BEARER = 'bearer '
-OUTCOME_LABELS = {Done: 'done', NotRun: 'not-run', OutcomeUnknown: 'unknown'}
+DONE_LABEL = 'done'
+NOT_RUN_LABEL = 'not-run'
+UNKNOWN_LABEL = 'unknown'
 
 
 class LinkFull(CurrantmastError):
@@ -119,7 +121,7 @@
             request = _parse_request(inbound, service)
         except ValueError as error:
             return WorkAnswer(NotRun(Reason.bad_request, str(error)))
-        admitted = self._steering.admit(request)
+        admitted = self._steering.admission.admit(request)
         if isinstance(admitted, NotRun):
             return WorkAnswer(admitted)
         try:
@@ -206,14 +208,8 @@
             ) as link:
                 request = self._make_hop(trip, link, remaining_s)
                 answer = self._connections.exchange(address, request, remaining_s)
-        except LinkFull:
-            return WorkAnswer(NotRun(Reason.link_full, f'to {route.region}'))
-        except NothingSent as error:
-            return WorkAnswer(NotRun(Reason.unreachable, str(error)))
-        except BodyBroken as error:
-            return WorkAnswer(OutcomeUnknown(Reason.connection_lost, str(error)))
-        except ExchangeBroken as error:
-            return WorkAnswer(_explain_broken(error))
+        except (LinkFull, BodyBroken, TransportError) as error:
+            return WorkAnswer(_explain_failure(error, trip))
         return decode_answer(answer, work.request_id)
 
     def _make_hop(
@@ -286,7 +282,7 @@
         self, service: str, request_id: str, outcome: Outcome, elapsed_s: float
     ) -> None:
         self._steering.note_refusal(outcome)
-        label = OUTCOME_LABELS[type(outcome)]
+        label = name_outcome(outcome)
         self._metrics.count(f'outcome.{label}')
         self._metrics.time(f'latency.{service}', elapsed_s)
         match outcome:
@@ -319,10 +315,21 @@
     )
 
 
+def name_outcome(outcome: Outcome) -> str:
+    """Return the value of the ``Outcome`` header."""
+    match outcome:
+        case Done():
+            return DONE_LABEL
+        case NotRun():
+            return NOT_RUN_LABEL
+        case OutcomeUnknown():
+            return UNKNOWN_LABEL
+
+
 def make_answer(answer: WorkAnswer, request_id: str) -> Answer:
     """Return the HTTP answer that tells a caller or peer how work ended."""
     outcome = answer.outcome
-    label = OUTCOME_LABELS[type(outcome)]
+    label = name_outcome(outcome)
     marks = (('Outcome', label), ('Request-Id', request_id))
     status = choose_status(outcome)
     match outcome:
@@ -343,7 +350,7 @@
         if not answer.body_sent:
             return WorkAnswer(NotRun(Reason.unreachable, f'status {answer.status}'))
         return WorkAnswer(OutcomeUnknown(Reason.connection_lost, 'foreign answer'))
-    if label == OUTCOME_LABELS[Done]:
+    if label == DONE_LABEL:
         headers = tuple(
             (name, text)
             for name, text in answer.headers
@@ -352,7 +359,7 @@
         return WorkAnswer(Done(answer.status), headers, answer.body)
     refusal = msgspec.json.decode(answer.body, type=Refusal)
     reason = Reason(refusal.reason)
-    if label == OUTCOME_LABELS[NotRun]:
+    if label == NOT_RUN_LABEL:
         return WorkAnswer(NotRun(reason, refusal.detail))
     return WorkAnswer(OutcomeUnknown(reason, refusal.detail))
 
@@ -398,11 +405,15 @@
     return (*work.headers, *marks)
 
 
-def _explain_broken(error: ExchangeBroken) -> OutcomeUnknown:
+def _explain_failure(error: CurrantmastError, trip: Trip) -> Outcome:
     match error:
+        case NothingSent():
+            return NotRun(Reason.unreachable, str(error))
+        case LinkFull() if not trip.body_begun:
+            return NotRun(Reason.link_full, str(error))
         case ProgressTimeout():
             return OutcomeUnknown(Reason.deadline, 'the peer made no progress')
         case AnswerIncomplete():
             return OutcomeUnknown(Reason.answer_incomplete, str(error))
         case _:
-            return OutcomeUnknown(Reason.connection_lost, 'to the peer')
+            return OutcomeUnknown(Reason.connection_lost, str(error))
--- a/currantmast/runtime/fleet.py
+++ b/currantmast/runtime/fleet.py
@@ -20,6 +20,8 @@
 FLEET = 'fleet'
 UPDATE_ATTEMPTS = 20
 RETRY_PAUSE_S = 0.05
+REMOVAL_PERIOD_S = 0.25
+REMOVAL_BACKOFF_S = 0.5
 
 
 class FleetContended(CurrantmastError):
@@ -80,6 +82,23 @@
         except MemberUnknown as error:
             log_event('fleet_change_obsolete', change='remove', error=error)
 
+    def remove_silent(self) -> None:
+        """Remove members that have gone silent, for ever."""
+        steering = self._steering
+        while True:
+            steering.clock.sleep(REMOVAL_PERIOD_S)
+            silent = steering.peering.observer.choose_removals(steering.member.id)
+            if silent:
+                self._try_removal(silent)
+
+    def _try_removal(self, silent: tuple[str, ...]) -> None:
+        log_event('removing', members=','.join(silent))
+        try:
+            self.remove(*silent)
+        except CurrantmastError as error:
+            log_event('removal_failed', level='WARNING', error=error)
+            self._steering.clock.sleep(REMOVAL_BACKOFF_S)
+
     def _update(
         self, change: Callable[[FleetRecord], FleetRecord], name: str
     ) -> FleetRecord:
--- a/currantmast/runtime/owner.py
+++ b/currantmast/runtime/owner.py
@@ -121,7 +121,7 @@
         # paused; the right is checked at the moment of use.
         refusal = self._check_right()
         if refusal is not None:
-            self._steering.targets.finish(granted, work.request_id, refusal)
+            self._steering.placement.finish(granted, work.request_id, refusal)
             return WorkAnswer(refusal)
         running = self._fingerprints.setdefault(granted.target.id, {})
         running[work.request_id] = fingerprint
@@ -141,7 +141,7 @@
             resolve=result.set,
             alone=alone,
         )
-        refusal = self._steering.targets.push(work.service.id, waiter)
+        refusal = self._steering.placement.push(work.service.id, waiter)
         if refusal is not None:
             return refusal
         try:
@@ -151,12 +151,12 @@
             raise
 
     def _abandon_wait(self, work: Work, result: AsyncResult) -> None:
-        if self._steering.targets.cancel(work.service.id, work.request_id):
+        if self._steering.placement.cancel(work.service.id, work.request_id):
             return
         granted = result.value
         if isinstance(granted, TargetSlots):
             unused = NotRun(Reason.deadline, 'the caller left')
-            self._steering.targets.finish(granted, work.request_id, unused)
+            self._steering.placement.finish(granted, work.request_id, unused)
 
     def _exchange(self, work: Work, slots: TargetSlots) -> WorkAnswer:
         remaining_s = work.deadline_at - self._clock.now()
@@ -215,7 +215,7 @@
         running = self._fingerprints[slots.target.id]
         fingerprint = running.pop(work.request_id)
         self._judge(self._steering.quarantine, fingerprint, outcome, alone, running)
-        self._steering.targets.finish(slots, work.request_id, outcome)
+        self._steering.placement.finish(slots, work.request_id, outcome)
 
     def _judge(
         self,
--- a/currantmast/runtime/process.py
+++ b/currantmast/runtime/process.py
@@ -8,14 +8,11 @@
 from typing import Self
 
 import gevent
-import msgspec
 from gevent.event import Event
-from gevent.pool import Pool
 
 from currantmast.clocks import Clock, LoopClock
-from currantmast.decisions.target_load import LoadReport
-from currantmast.deployment import Configuration, Target
-from currantmast.errors import CurrantmastError, TaskFailed, TransportError
+from currantmast.deployment import Configuration
+from currantmast.errors import CurrantmastError, TaskFailed
 from currantmast.messages import Address, Member
 from currantmast.publication import HEAD
 from currantmast.runtime.beating import HeartbeatTask
@@ -24,22 +21,20 @@
 from currantmast.runtime.entry import Entry
 from currantmast.runtime.fleet import FLEET, FleetStore
 from currantmast.runtime.following import Follower, obtain_configuration
-from currantmast.runtime.forwarding import Connections, HopRequest
+from currantmast.runtime.forwarding import Connections
 from currantmast.runtime.logs import configure_logs, log_event
 from currantmast.runtime.metrics import Metrics
 from currantmast.runtime.owner import Owner
 from currantmast.runtime.peerapp import PeerApp
+from currantmast.runtime.polling import LoadPoller
 from currantmast.runtime.publicapp import PublicApp
-from currantmast.runtime.servers import Answer, HttpServer, Inbound
+from currantmast.runtime.servers import HttpServer
 from currantmast.runtime.store import ObjectClient
 from currantmast.runtime.supervisor import Supervisor, check_backend, watch_loop
 from currantmast.settings import InstanceSettings
 from currantmast.steering import Steering
 
 INCARNATION_BYTES = 8
-LOAD_PERIOD_S = 1.0
-LOAD_TIMEOUT_S = 0.5
-LOAD_CONCURRENCY = 16
 HOUSEKEEPING_S = 0.25
 JOIN_BACKOFF_S = 0.5
 LEAVE_MARGIN_S = 1.0
@@ -48,15 +43,6 @@
 EXIT_FAILED = 70
 
 
-class LoadAnswer(msgspec.Struct, frozen=True):
-    """Body of a target's load report."""
-
-    running: int
-    slots: int
-    draining: bool = False
-    cold: bool = False
-
-
 class Removed(CurrantmastError):
     """The fleet record no longer lists this run, which must join as a new one."""
 
@@ -84,8 +70,8 @@
         self._stack = ExitStack()
         open_context = self._stack.enter_context
         self._link = open_context(ControlLink(settings.control))
-        self._public = open_context(HttpServer(settings.public, self._respond_public))
-        self._peer = open_context(HttpServer(settings.peer, self._respond_peer))
+        self._public = open_context(HttpServer(settings.public))
+        self._peer = open_context(HttpServer(settings.peer))
         self._metrics = open_context(Metrics(settings.statsd, settings.id))
         self._connections = open_context(Connections(clock))
         self._client = open_context(
@@ -132,6 +118,8 @@
         TaskFailed
             If a task failed for good.
         """
+        self._public.start(self._public_app.respond)
+        self._peer.start(self._peer_app.respond)
         with Supervisor('instance', self._clock) as supervisor:
             self._start_tasks(supervisor)
             self._follower.read_record(self._settings.seeds)
@@ -155,8 +143,8 @@
             'watch_fleet': partial(self._follower.follow_store, FLEET),
             'fetch': partial(self._follower.follow_peers, self._find_peer),
             'renew': self._follower.renew_from_store,
-            'loads': self._poll_loads,
-            'removals': self._remove_silent,
+            'loads': LoadPoller(self._steering, self._connections).run,
+            'removals': self._fleet.remove_silent,
             'claims': self._claims.run,
             'loop': partial(watch_loop, self._clock),
         }
@@ -175,12 +163,6 @@
             control=self._link.address,
         )
 
-    def _respond_public(self, inbound: Inbound) -> Answer:
-        return self._public_app.respond(inbound)
-
-    def _respond_peer(self, inbound: Inbound) -> Answer:
-        return self._peer_app.respond(inbound)
-
     def _find_peer(self, member_id: str) -> Address | None:
         for member in self._steering.peering.observer.list_unexpired():
             if member.id == member_id:
@@ -207,42 +189,6 @@
                 break
         supervisor.stop()
 
-    def _remove_silent(self) -> None:
-        while True:
-            self._clock.sleep(HOUSEKEEPING_S)
-            silent = self._steering.peering.observer.choose_removals(self._settings.id)
-            if silent:
-                self._try_removal(silent)
-
-    def _try_removal(self, silent: tuple[str, ...]) -> None:
-        log_event('removing', members=','.join(silent))
-        try:
-            self._fleet.remove(*silent)
-        except CurrantmastError as error:
-            log_event('removal_failed', level='WARNING', error=error)
-            self._clock.sleep(JOIN_BACKOFF_S)
-
-    def _poll_loads(self) -> None:
-        pool = Pool(LOAD_CONCURRENCY)
-        while True:
-            self._clock.sleep(LOAD_PERIOD_S)
-            pool.map(self._poll_load, self._steering.targets.list_owned())
-
-    def _poll_load(self, target: Target) -> None:
-        requested_at = self._clock.now()
-        try:
-            answer = self._connections.exchange(
-                target.address, HopRequest('GET', '/load'), LOAD_TIMEOUT_S
-            )
-            load = msgspec.json.decode(answer.body, type=LoadAnswer)
-        except (TransportError, msgspec.MsgspecError) as error:
-            log_event('load_failed', level='DEBUG', target=target.id, error=error)
-            return
-        report = LoadReport(
-            load.running, load.slots, load.draining, load.cold, requested_at
-        )
-        self._steering.targets.observe_load(target.id, report)
-
     def _leave(self) -> None:
         """Hand over, serve callers that cached this instance, finish, leave."""
         log_event('leaving')
--- a/currantmast/runtime/servers.py
+++ b/currantmast/runtime/servers.py
@@ -12,6 +12,7 @@
 
 from currantmast.errors import CurrantmastError
 from currantmast.messages import Address
+from currantmast.runtime.logs import log_event
 
 CHUNK_BYTES = 65_536
 IDLE_TIMEOUT_S = 30.0
@@ -19,7 +20,7 @@
 MAX_HEADER_BYTES = 16_384
 MAX_CONNECTIONS = 2000
 SMALL_BODY_BYTES = 65_536
-STOP_POLL_S = 0.05
+FAILED = 500
 
 
 class BodyBroken(CurrantmastError):
@@ -137,18 +138,19 @@
 class HttpServer:
     """Owns a listening socket and the connections that it accepted.
 
+    The socket is bound at once, so that its address is known; connections are
+    accepted after `start`.
+
     Parameters
     ----------
     listen : Address
         Address to listen on; port 0 lets the kernel choose.
-    respond : callable
-        Returns the `Answer` to an `Inbound`.
     """
 
     __slots__ = ('_respond', '_idle', '_running', '_server', 'address')
 
-    def __init__(self, listen: Address, respond: Callable[[Inbound], Answer]) -> None:
-        self._respond = respond
+    def __init__(self, listen: Address) -> None:
+        self._respond: Callable[[Inbound], Answer] | None = None
         self._running = 0
         self._idle = Event()
         self._idle.set()
@@ -160,7 +162,7 @@
             log=_Silent(),
             error_log=_Silent(),
         )
-        self._server.start()
+        self._server.init_socket()
         self.address = Address(listen.host, self._server.server_port)
 
     def __enter__(self) -> Self:
@@ -175,6 +177,11 @@
         """Return the address and the number of running requests."""
         return f'<HttpServer {self.address} running={self._running}>'
 
+    def start(self, respond: Callable[[Inbound], Answer]) -> None:
+        """Accept connections; `respond` returns the answer to each request."""
+        self._respond = respond
+        self._server.start()
+
     @property
     def running(self) -> int:
         """Requests that are being served."""
@@ -193,6 +200,9 @@
         self._idle.clear()
         try:
             answer = self._respond(_parse_environ(environ))
+        except Exception as error:
+            log_event('request_failed', level='ERROR', error=error)
+            answer = Answer(FAILED)
         finally:
             self._running -= 1
             if not self._running:
--- a/currantmast/runtime/status.py
+++ b/currantmast/runtime/status.py
@@ -71,7 +71,7 @@
         expiring=tuple(
             member.id for member in unexpired if get_key(member) not in listed
         ),
-        capacity={entry.service: entry for entry in steering.targets.list_capacity()},
+        capacity={entry.service: entry for entry in steering.placement.list_capacity()},
         refused=dict(steering.refused),
         drained=operations.drained if operations else (),
         suspects={
@@ -98,7 +98,7 @@
 def _describe_member(steering: Steering, member: Member) -> MemberStatus:
     observer = steering.peering.observer
     own = member.incarnation == steering.member.incarnation
-    heard_s = 0.0 if own else observer.get_silence(member)
+    heard_s = 0 if own else observer.get_silence(member)
     return MemberStatus(
         id=member.id,
         incarnation=member.incarnation,
--- a/currantmast/steering.py
+++ b/currantmast/steering.py
@@ -6,7 +6,7 @@
 
 from currantmast.blocks import BlockTable
 from currantmast.clocks import Clock
-from currantmast.decisions.admission import Admission, AdmissionRequest, Admitted
+from currantmast.decisions.admission import Admission
 from currantmast.decisions.quarantine import Quarantine
 from currantmast.decisions.retries import RetryBudget
 from currantmast.decisions.routing import OwnerView, Route, Router, RouteRequest, Score
@@ -17,7 +17,8 @@
 from currantmast.messages import FleetRecord, Heartbeat, Member
 from currantmast.outcomes import NotRun, Outcome, OutcomeUnknown
 from currantmast.peering import Peering, Report
-from currantmast.targets import OwnedTargets
+from currantmast.placement import Placement
+from currantmast.target_table import TargetTable
 from currantmast.views import OwnerViews
 
 
@@ -57,9 +58,8 @@
         self.peering = Peering(clock, member, timing)
         self.lease = self.peering.lease
         self.shares = self.peering.shares
-        self.targets = OwnedTargets(
-            clock, member, self.peering.handover, self.peering.observer
-        )
+        self.targets = TargetTable(clock, member, self.peering.handover)
+        self.placement = Placement(clock, self.targets)
         self.views = OwnerViews(clock)
         self.quarantine = Quarantine(clock, timing.quarantine_s)
         self.admission = Admission(clock, self.lease, self.shares)
@@ -92,6 +92,7 @@
         self.retries = RetryBudget(self.clock, base.policy.retry_ratio)
         self.admission.set_configuration(configuration)
         self.targets.adopt_inventory(inventory)
+        self.placement.adopt_inventory(inventory)
         self.peering.adopt_budgets(
             configuration.version, inventory.budgets, base.policy
         )
@@ -114,15 +115,11 @@
     def make_report(self) -> Report:
         """Return what to tell peers about the work of this instance."""
         return Report(
-            capacity=self.targets.list_capacity(),
+            capacity=self.placement.list_capacity(),
             remaining=self.targets.list_remaining(),
             suspects=self.quarantine.list_suspects(),
         )
 
-    def admit(self, request: AdmissionRequest) -> Admitted | NotRun:
-        """Return the admitted request or why it is refused."""
-        return self.admission.admit(request)
-
     def locate(self, caller: str, *, use_shift: bool = True) -> Origin:
         """Return where `caller` belongs and which region serves it now.
 
@@ -158,7 +155,7 @@
 
     def list_views(self, service: str) -> tuple[OwnerView, ...]:
         """Return what is known of the owners of `service`, this instance included."""
-        self.views.observe(self.member.id, self.targets.list_capacity())
+        self.views.observe(self.member.id, self.placement.list_capacity())
         views = self.views.list_views(self.peering.record, service)
         return tuple(
             view
--- a/currantmast/targets.py
+++ b/currantmast/target_table.py
@@ -1,28 +1,22 @@
-"""The targets that an instance owns: slots, queues and handover."""
+"""The targets that an instance owns: their slots and their handover."""
 
 from collections.abc import Iterable
 
 from currantmast.clocks import Clock
 from currantmast.decisions.handover import Handover
-from currantmast.decisions.membership import Observer
 from currantmast.decisions.ownership import choose_owner
-from currantmast.decisions.slots import SlotQueue, TargetSlots, Waiter
+from currantmast.decisions.slots import TargetSlots
 from currantmast.decisions.target_load import LoadReport
 from currantmast.deployment import Target
 from currantmast.inventory import Inventory
-from currantmast.messages import Capacity, FleetRecord, Member, Remaining
-from currantmast.outcomes import NotRun, Outcome, Reason
+from currantmast.messages import FleetRecord, Member, Remaining
+from currantmast.takeover import Takeover, name_target
 
 MS_PER_S = 1000
 
 
-def name_target(target: Target) -> str:
-    """Return the name under which `target` is owned."""
-    return f'target:{target.id}'
-
-
-class OwnedTargets:
-    """Slots and queues of the targets that this instance owns.
+class TargetTable:
+    """Slots of the targets that this instance owns.
 
     A target is usable once its earlier owner can't start work on it any more. Slots on
     which an earlier owner may still have work count as used.
@@ -35,40 +29,32 @@
         This instance.
     handover : Handover
         Tells which targets no earlier owner can use.
-    observer : Observer
-        Tells which former members have expired.
     """
 
     __slots__ = (
         '_clock',
         '_former',
-        '_handover',
         '_inventory',
         '_member',
-        '_observer',
         '_owned',
-        '_queues',
         '_record',
         '_settled',
+        '_takeover',
     )
 
-    def __init__(
-        self, clock: Clock, member: Member, handover: Handover, observer: Observer
-    ) -> None:
+    def __init__(self, clock: Clock, member: Member, handover: Handover) -> None:
         self._clock = clock
         self._member = member
-        self._handover = handover
-        self._observer = observer
+        self._takeover = Takeover(clock, member, handover)
         self._record = FleetRecord(0)
         self._inventory: Inventory | None = None
         self._owned: dict[str, TargetSlots] = {}
         self._former: dict[str, TargetSlots] = {}
         self._settled: set[str] = set()
-        self._queues: dict[str, SlotQueue] = {}
 
     def __repr__(self) -> str:
         """Return the counts."""
-        return f'<OwnedTargets owned={len(self._owned)} settled={len(self._settled)}>'
+        return f'<TargetTable owned={len(self._owned)} settled={len(self._settled)}>'
 
     def adopt_record(self, record: FleetRecord) -> None:
         """Own the targets that `record` gives to this instance."""
@@ -77,47 +63,10 @@
         self._assign()
 
     def adopt_inventory(self, inventory: Inventory) -> None:
-        """Follow the targets, drains and limits of a new configuration."""
+        """Follow the targets and drains of a new configuration."""
         self._inventory = inventory
-        wait_s = inventory.deployment.base.policy.queue_wait_ms / MS_PER_S
-        for service in inventory.services.values():
-            if service.id not in self._queues:
-                self._queues[service.id] = SlotQueue(
-                    self._clock, service.queue_limit, wait_s
-                )
         self._assign()
 
-    def push(self, service: str, waiter: Waiter) -> NotRun | None:
-        """Queue `waiter` for a slot of `service`, or return why it can't wait."""
-        usable = self.list_usable(service)
-        if not usable:
-            return NotRun(Reason.not_owner, f'no usable target of {service}')
-        refusal = self._queues[service].push(waiter)
-        self._queues[service].dispatch(usable)
-        return refusal
-
-    def cancel(self, service: str, request_id: str) -> bool:
-        """Remove a waiter; return whether it still waited."""
-        return self._queues[service].cancel(request_id)
-
-    def finish(self, slots: TargetSlots, request_id: str, outcome: Outcome) -> None:
-        """End a request on a target and start the next waiters."""
-        slots.finish(request_id, outcome)
-        if not slots.count_running():
-            self._former.pop(slots.target.id, None)
-        self.dispatch(slots.target.service)
-
-    def dispatch(self, service: str) -> None:
-        """Start the waiters of `service` that a slot is free for."""
-        queue = self._queues.get(service)
-        if queue is not None:
-            queue.dispatch(self.list_usable(service))
-
-    def dispatch_all(self) -> None:
-        """Start or refuse waiters of all services; to be called periodically."""
-        for service in self._queues:
-            self.dispatch(service)
-
     def list_usable(self, service: str) -> list[TargetSlots]:
         """Return the targets of `service` that may be given work now."""
         return [
@@ -146,6 +95,11 @@
             count = running.get(target_id, 0)
             slots.hold(count, self._clock.now() + self._get_timeout(slots), sender)
 
+    def release_former(self, slots: TargetSlots) -> None:
+        """Forget a target that another instance owns once its work has ended."""
+        if not slots.count_running():
+            self._former.pop(slots.target.id, None)
+
     def list_remaining(self) -> tuple[Remaining, ...]:
         """Return the work that still runs on targets now owned by others."""
         return tuple(
@@ -153,13 +107,6 @@
             for target_id, slots in self._former.items()
         )
 
-    def list_capacity(self) -> tuple[Capacity, ...]:
-        """Return free and usable slots of each service."""
-        return tuple(
-            self._sum_capacity(service, queue)
-            for service, queue in self._queues.items()
-        )
-
     def count_running(self) -> int:
         """Return the requests that run on targets now."""
         everyone = (*self._owned.values(), *self._former.values())
@@ -195,7 +142,7 @@
     def _take_over(self, target: Target) -> None:
         slots = self._former.pop(target.id, None)
         if slots is None:
-            had_owner = self._find_predecessor(target) is not None
+            had_owner = self._takeover.find_predecessor(target) is not None
             slots = TargetSlots(self._clock, target, warm=had_owner)
         self._owned[target.id] = slots
 
@@ -209,45 +156,13 @@
         target = slots.target
         if target.id in self._settled:
             return True
-        if not self._handover.is_settled(name_target(target), target.region):
+        if not self._takeover.is_settled(target):
             return False
         self._settled.add(target.id)
-        self._hold_for_expired(slots)
+        timeout_s = self._get_timeout(slots)
+        self._takeover.hold_for_expired(slots, self._record, timeout_s)
         return True
 
-    def _hold_for_expired(self, slots: TargetSlots) -> None:
-        """Count all slots as used if an expired owner may have left work behind."""
-        predecessor = self._find_predecessor(slots.target)
-        holder = self._find_departed(predecessor)
-        if holder is None:
-            return
-        now = self._clock.now()
-        until = now + self._get_timeout(slots)
-        slots.hold(slots.target.slots, until, holder.incarnation, now)
-
-    def _find_departed(self, predecessor: Member | None) -> Member | None:
-        departed = [
-            entry.member
-            for entry in self._record.departures
-            if entry.member.region == self._member.region
-        ]
-        if predecessor is None:
-            return departed[0] if departed else None
-        runs = {member.incarnation for member in self._record.members}
-        return None if predecessor.incarnation in runs else predecessor
-
-    def _find_predecessor(self, target: Target) -> Member | None:
-        return self._handover.get_predecessor(name_target(target), target.region)
-
     def _get_timeout(self, slots: TargetSlots) -> float:
         service = self._inventory.services.get(slots.target.service)
         return 0 if service is None else service.timeout_ms / MS_PER_S
-
-    def _sum_capacity(self, service: str, queue: SlotQueue) -> Capacity:
-        usable = self.list_usable(service)
-        return Capacity(
-            service=service,
-            free=sum(slots.count_free() for slots in usable),
-            usable=sum(slots.count_usable() for slots in usable),
-            queued=len(queue),
-        )
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -77,7 +77,8 @@
             return Answer(503)
         return Answer(200, body=inbound.read_body())
 
-    with HttpServer(LOCAL, respond) as server:
+    with HttpServer(LOCAL) as server:
+        server.start(respond)
         upload = HopRequest(
             'PUT', '/full', body=iter([b'GET /evil']), length=9, ask_first=True
         )
@@ -102,7 +103,8 @@
         remotes.add(inbound.stream.rfile)
         return Answer(200, body=b'fine')
 
-    with HttpServer(LOCAL, respond) as server:
+    with HttpServer(LOCAL) as server:
+        server.start(respond)
         for _ in range(3):
             answer = connections.exchange(server.address, HopRequest('GET', '/'), 2)
             assert answer.body == b'fine'
@@ -112,7 +114,8 @@
 def test_headers_beyond_the_bounds_are_rejected(connections):
     """Guards against unbounded memory for headers."""
     headers = tuple((f'X-{number}', 'v') for number in range(100))
-    with HttpServer(LOCAL, lambda inbound: Answer(200)) as server:
+    with HttpServer(LOCAL) as server:
+        server.start(lambda inbound: Answer(200))
         answer = connections.exchange(
             server.address, HopRequest('GET', '/', headers=headers), TIMEOUT_S
         )
