--- a/currantmast/decisions/claimrecords.py
+++ b/currantmast/decisions/claimrecords.py
@@ -143,6 +143,21 @@
     return f'{name_partition(partition)}{sequence:012}'
 
 
+def read_sequence(name: str) -> int:
+    """Return the sequence number in the name of a batch.
+
+    Raises
+    ------
+    BatchRejected
+        If `name` is not the name of a batch.
+    """
+    _, _, digits = name.rpartition('/')
+    try:
+        return int(digits)
+    except ValueError as failure:
+        raise BatchRejected(f'{name}: allowed is a sequence number') from failure
+
+
 def encode_batch(batch: ClaimBatch) -> bytes:
     """Return `batch` as MessagePack."""
     return _encoder.encode(batch)
--- a/currantmast/runtime/store.py
+++ b/currantmast/runtime/store.py
@@ -211,9 +211,16 @@
         call = Call('delete', 'DELETE', _make_path(name), b'', if_version)
         ConditionalWrite(self._channel, name, call).run()
 
-    def list(self, prefix: str) -> Listing:
+    def list(self, prefix: str, after: str = '') -> Listing:
         """Return the names and versions of all objects under `prefix`.
 
+        Parameters
+        ----------
+        prefix : str
+            Beginning of the names.
+        after : str
+            Only names that sort after this one are listed.
+
         Raises
         ------
         StoreUnavailable
@@ -221,7 +228,7 @@
         StoreBudgetExceeded
             If the call budget is used up.
         """
-        page = self._list_page(prefix, '')
+        page = self._list_page(prefix, after)
         revision = page.revision
         entries = list(page.entries)
         while not page.complete:
--- a/currantmast/runtime/supervisor.py
+++ b/currantmast/runtime/supervisor.py
@@ -47,7 +47,7 @@
         self.name = name
         self._clock = clock
         self._tasks = Group()
-        self._failure: AsyncResult[None] = AsyncResult()
+        self._failure: AsyncResult = AsyncResult()
 
     def __enter__(self) -> Self:
         """Return the supervisor."""
--- a/currantmast/standins/objects.py
+++ b/currantmast/standins/objects.py
@@ -121,14 +121,18 @@
         Settings.
     clock : Clock
         Time of the history.
+
+    Attributes
+    ----------
+    faults : ObjectFaults
+        Faults in force.
     """
 
     def __init__(self, settings: ObjectsSettings, clock: Clock) -> None:
         self._settings = settings
         self._clock = clock
         self._storage = Storage(settings.changes_kept)
-        self._faults = ObjectFaults()
-        self._faults_changed = Event()
+        self.faults = ObjectFaults()
         self._calls: Counter[str] = Counter()
         self._history: deque[Call] = deque(maxlen=HISTORY_KEPT)
 
@@ -150,11 +154,11 @@
     def _change_faults(self, request: Request) -> Reply:
         if request.method == 'POST':
             try:
-                self._faults = apply_changes(self._faults, request.read_body())
+                self.faults = apply_changes(self.faults, request.read_body())
             except msgspec.MsgspecError as rejected:
                 return reply_json(400, str(rejected))
             self._storage.wake_waiters()
-        return reply_json(200, self._faults)
+        return reply_json(200, self.faults)
 
     def _serve_call(self, request: Request) -> Reply | NoReply:
         kind = _name_kind(request)
@@ -162,14 +166,14 @@
         # The body is read before the delay, so that a client that gave up has
         # still written: its answer is lost, not its request.
         body = request.read_body() if kind == 'put' else b''
-        gevent.sleep(self._settings.call_s + self._faults.delay_s)
+        gevent.sleep(self._settings.call_s + self.faults.delay_s)
         reply = self._refuse() or self._dispatch(kind, request, body)
         return self._record(kind, request, reply)
 
     def _refuse(self) -> Reply | NoReply | None:
-        if self._faults.closed:
+        if self.faults.closed:
             return NoReply()
-        return Reply(503) if self._faults.outage else None
+        return Reply(503) if self.faults.outage else None
 
     def _dispatch(self, kind: str, request: Request, body: bytes) -> Reply:
         match kind:
@@ -190,10 +194,10 @@
     ) -> Reply | NoReply:
         status = reply.status if isinstance(reply, Reply) else 0
         lost = kind in {'put', 'delete'} and status in {200, 204}
-        lost = lost and self._faults.lose_answers > 0
+        lost = lost and self.faults.lose_answers > 0
         if lost:
-            left = self._faults.lose_answers - 1
-            self._faults = msgspec.structs.replace(self._faults, lose_answers=left)
+            left = self.faults.lose_answers - 1
+            self.faults = msgspec.structs.replace(self.faults, lose_answers=left)
         call = Call(
             at=self._clock.now(),
             kind=kind,
@@ -254,7 +258,7 @@
             return Reply(410)
 
     def _wait_changes(self, prefix: str, since: int, until: float) -> Reply:
-        while not (self._faults.outage or self._faults.closed):
+        while not (self.faults.outage or self.faults.closed):
             changes = self._storage.list_changes(prefix, since)
             left_s = until - self._clock.now()
             if changes or left_s <= 0:
