Guard the first seconds of a fleet with a test of their own

A request that arrives while the instance is being constructed gets a 500 (AttributeError: 'Instance' object has no attribute '_public_app'), because the public listener opens before the application exists.

--- a/currantmast/experiment/formats.py
+++ b/currantmast/experiment/formats.py
@@ -221,7 +221,7 @@
 
 def make_withdrawal(digest: str) -> tuple[str, ...]:
     """Return the command that withdraws a key by its digest."""
-    return ('key', 'withdraw', f'--digest={digest}')
+    return ('key', 'withdraw', digest)
 
 
 def _make_target(target: HostedTarget, kind: ServiceKind) -> TargetSettings:
--- a/currantmast/experiment/processes.py
+++ b/currantmast/experiment/processes.py
@@ -1,6 +1,7 @@
 """Processes that the experiment starts and ends by their id."""
 
 import os
+import re
 import signal
 import subprocess  # noqa: S404
 import sys
@@ -20,6 +21,7 @@
 """Lines of a process's output that are shown when it fails."""
 
 READY_PREFIX = 'ready '
+ROUTINE = re.compile('^ready |level=(INFO|DEBUG)')
 RUN_BINARY = 'from currantmast.commands import main; main()'
 
 
@@ -158,6 +160,12 @@
         """Return everything that the process wrote."""
         return self.log_path.read_text(errors='replace')
 
+    def read_warnings(self) -> str:
+        """Return the last lines besides those of routine events."""
+        lines = self.read_output().splitlines()
+        unusual = [line for line in lines if not ROUTINE.search(line)]
+        return '\n'.join(unusual[-TAIL_LINES:])
+
     def fail(self, problem: str) -> ProcessFailed:
         """Return a failure that shows the last lines of the output."""
         lines = self.read_output().splitlines()
--- a/currantmast/experiment/scenarios.py
+++ b/currantmast/experiment/scenarios.py
@@ -1,7 +1,8 @@
 """Loads on a shared fleet, each with a history of its own."""
 
 import time
-from collections.abc import Iterator
+from collections import Counter
+from collections.abc import Iterable, Iterator
 from types import TracebackType
 from typing import Self
 
@@ -10,7 +11,7 @@
 
 from currantmast.deployment import Operations
 from currantmast.experiment.fleet import LocalFleet
-from currantmast.experiment.histories import Violations
+from currantmast.experiment.histories import DONE, Violations
 from currantmast.experiment.inspection import collect_executions, inspect_history
 from currantmast.experiment.load import Load, LoadShape
 from currantmast.experiment.records import Call, Drain, Execution, History, Withdrawal
@@ -118,3 +119,12 @@
         for execution in collect_executions(self.fleet.controls, self.fleet.plan):
             if execution.call_id.startswith(f'{self.name}-'):
                 yield execution
+
+
+def count_unanswered(calls: Iterable[Call]) -> dict[str, int]:
+    """Return how many calls did not end as done, by kind, outcome and reason."""
+    return Counter(
+        f'{call.kind} {call.outcome} {call.reason}'
+        for call in calls
+        if call.outcome != DONE
+    )
--- a/tests/integration/conftest.py
+++ b/tests/integration/conftest.py
@@ -2,6 +2,7 @@
 
 from pathlib import Path
 
+import gevent
 import pytest
 from msgspec.structs import replace
 
@@ -12,6 +13,7 @@
 DEPLOYMENT = Path(__file__).resolve().parents[2] / 'deployments' / 'glenbrae'
 SEED = 20
 LOOKUP_LIFETIME_S = 1
+WARM_UP_S = 4
 
 
 def load_quick_deployment():
@@ -24,6 +26,8 @@
 @pytest.fixture(scope='session')
 def shared_fleet():
     with LocalFleet(DEPLOYMENT, SEED, deployment=load_quick_deployment()) as fleet:
+        # test_start covers the first seconds; the other tests begin after them.
+        gevent.sleep(WARM_UP_S)
         yield fleet
 
 
