Claim request keys at the owner of their partition

Cause: resends of an order through any instance must be one execution. Change: the executing owner asks the owner of the partition, which commits batches to the store's log; releases and records are delivered in the background.

--- a/currantmast/runtime/claiming.py
+++ b/currantmast/runtime/claiming.py
@@ -1,17 +1,102 @@
-"""Claims of an instance: its own partitions and those of its peers."""
+"""Claims on behalf of an owner: at whichever instance owns the partition."""
 
+import secrets
 from collections.abc import Callable
-from typing import Self
 
+import gevent
+import msgspec
+
+from currantmast.decisions.claimkeys import PARTITIONS, ClaimKey, parse_claim_key
+from currantmast.decisions.claimrecords import (
+    Fresh,
+    InProgress,
+    RecordedAnswer,
+    Repeated,
+    Unavailable,
+)
+from currantmast.decisions.ownership import choose_owner, list_owned
+from currantmast.errors import TransportError
 from currantmast.messages import Address
-from currantmast.outcomes import NotRun, Reason
-from currantmast.runtime.forwarding import Connections
+from currantmast.outcomes import Done, NotRun, OutcomeUnknown, Reason
+from currantmast.runtime.claims import ClaimResult, ClaimService, ClaimSettings
+from currantmast.runtime.forwarding import Connections, HopRequest
+from currantmast.runtime.logs import log_event
 from currantmast.runtime.store import ObjectClient
+from currantmast.runtime.supervisor import Supervisor
 from currantmast.steering import Steering
 from currantmast.work import Work, WorkAnswer
 
+CLAIMS_PATH = '/claims'
+ATTEMPT_BYTES = 6
+MAX_WAIT_S = 2.0
+FOLLOW_PERIOD_S = 0.25
+NOTICE_ATTEMPTS = 5
+NOTICE_PAUSE_S = 0.5
+NOTICE_TIMEOUT_S = 1.0
+CONTENT_TYPE = 'content-type'
+
+
+class ClaimCall(msgspec.Struct, frozen=True, tag='claim'):
+    """Ask the owner of a partition to claim a key for one attempt."""
+
+    key: ClaimKey
+    attempt: str
+    timeout_s: float
+
+
+class RecordCall(msgspec.Struct, frozen=True, tag='record'):
+    """Tell the owner of a partition the answer of an attempt."""
+
+    key: ClaimKey
+    attempt: str
+    answer: RecordedAnswer
+
+
+class ReleaseCall(msgspec.Struct, frozen=True, tag='release'):
+    """Tell the owner of a partition that an attempt was not sent."""
+
+    key: ClaimKey
+    attempt: str
+
+
+PartitionCall = ClaimCall | RecordCall | ReleaseCall
+_call_decoder = msgspec.msgpack.Decoder(PartitionCall)
+_result_decoder = msgspec.msgpack.Decoder(
+    Fresh | Repeated | InProgress | Unavailable | NotRun
+)
+
+
+class Attempt(msgspec.Struct, frozen=True):
+    """A claim that was made for work which runs now."""
+
+    key: ClaimKey
+    token: str
+
 
 class ClaimDesk:
+    """Claims request keys at the owners of their partitions.
+
+    Parameters
+    ----------
+    steering : Steering
+        Fleet record and configuration.
+    client : ObjectClient
+        Client of the platform's store.
+    connections : Connections
+        Pooled connections to peers.
+    find_peer : callable
+        Returns the address of a peer's work port by its id, or None.
+    """
+
+    __slots__ = (
+        '_attempts',
+        '_client',
+        '_connections',
+        '_find_peer',
+        '_service',
+        '_steering',
+    )
+
     def __init__(
         self,
         steering: Steering,
@@ -19,22 +104,196 @@
         connections: Connections,
         find_peer: Callable[[str], Address | None],
     ) -> None:
-        pass
-
-    def __enter__(self) -> Self:
-        return self
+        self._steering = steering
+        self._client = client
+        self._connections = connections
+        self._find_peer = find_peer
+        self._service: ClaimService | None = None
+        self._attempts: dict[str, Attempt] = {}
 
-    def __exit__(self, *a):
-        pass
+    def __repr__(self) -> str:
+        """Return the number of attempts under way."""
+        return f'<ClaimDesk attempts={len(self._attempts)}>'
 
-    def run(self):
-        pass
+    def run(self) -> None:
+        """Own the partitions that the fleet record gives to this instance."""
+        timing = self._steering.timing
+        member = self._steering.member
+        settings = ClaimSettings(
+            writer=f'{member.id}/{member.incarnation}',
+            lifetime_s=timing.claim_lifetime_s,
+            batch_s=timing.claim_batch_s,
+        )
+        clock = self._steering.clock
+        with Supervisor('claims', clock) as supervisor:
+            self._service = ClaimService(self._client, clock, settings, supervisor)
+            supervisor.add('follow', self._follow_ownership)
+            supervisor.wait()
 
     def claim(self, work: Work) -> WorkAnswer | None:
-        return WorkAnswer(NotRun(Reason.claims_unavailable))
+        """Return None if `work` may run, else its answer."""
+        key = self._parse(work)
+        if isinstance(key, NotRun):
+            return WorkAnswer(key)
+        attempt = Attempt(key, f'{work.request_id}.{secrets.token_hex(ATTEMPT_BYTES)}')
+        remaining_s = work.deadline_at - self._steering.clock.now()
+        result = self._claim_at_owner(attempt, min(remaining_s, MAX_WAIT_S))
+        log_event(
+            'claim',
+            request=work.request_id,
+            partition=key.partition,
+            result=type(result).__name__,
+        )
+        if isinstance(result, Fresh):
+            self._attempts[work.request_id] = attempt
+            return None
+        return convert_result(result)
+
+    def record(self, work: Work, answer: WorkAnswer) -> None:
+        """Keep how claimed work ended, for resends."""
+        attempt = self._attempts.pop(work.request_id)
+        recorded = make_record(answer)
+        call = RecordCall(attempt.key, attempt.token, recorded)
+        gevent.spawn(self._notify, attempt.key, call)
+
+    def release(self, work: Work) -> None:
+        """Give up the claim of work that certainly did not run."""
+        attempt = self._attempts.pop(work.request_id)
+        self._release(attempt)
+
+    def serve(self, body: bytes) -> bytes:
+        """Return the result of a peer's call on a partition.
+
+        Raises
+        ------
+        ValueError
+            If `body` is no call.
+        """
+        call = _call_decoder.decode(body)
+        return msgspec.msgpack.encode(self._serve_call(call))
+
+    def _follow_ownership(self) -> None:
+        names = {
+            _name_partition(partition): partition for partition in range(PARTITIONS)
+        }
+        while True:
+            peering = self._steering.peering
+            owned = list_owned(peering.record, self._steering.member.id, names)
+            if not peering.is_member:
+                owned = ()
+            self._service.adopt(frozenset(names[name] for name in owned))
+            self._steering.clock.sleep(FOLLOW_PERIOD_S)
+
+    def _parse(self, work: Work) -> ClaimKey | NotRun:
+        return parse_claim_key(
+            work.team or '',
+            work.service.id,
+            work.request_key or '',
+            self._steering.clock,
+            self._steering.timing.claim_lifetime_s,
+        )
+
+    def _claim_at_owner(self, attempt: Attempt, timeout_s: float) -> ClaimResult:
+        call = ClaimCall(attempt.key, attempt.token, timeout_s)
+        try:
+            result = self._call_owner(attempt.key, call, timeout_s)
+        except TransportError as error:
+            # The claim may still be written, for an attempt that will never be sent.
+            self._release(attempt)
+            return Unavailable(str(error))
+        return result
+
+    def _release(self, attempt: Attempt) -> None:
+        call = ReleaseCall(attempt.key, attempt.token)
+        gevent.spawn(self._notify, attempt.key, call)
+
+    def _notify(self, key: ClaimKey, call: PartitionCall) -> None:
+        """Deliver a call that nobody waits for; a later owner takes it as well."""
+        for _ in range(NOTICE_ATTEMPTS):
+            try:
+                result = self._call_owner(key, call, NOTICE_TIMEOUT_S)
+            except TransportError as error:
+                result = Unavailable(str(error))
+            if not isinstance(result, Unavailable):
+                return
+            self._steering.clock.sleep(NOTICE_PAUSE_S)
+        log_event('claim_notice_lost', level='WARNING', detail=result.detail)
+
+    def _call_owner(
+        self, key: ClaimKey, call: PartitionCall, timeout_s: float
+    ) -> ClaimResult:
+        owner = choose_owner(
+            self._steering.peering.record, _name_partition(key.partition)
+        )
+        if owner is None:
+            return Unavailable('the partition has no owner')
+        if owner.incarnation == self._steering.member.incarnation:
+            return self._serve_call(call)
+        address = self._find_peer(owner.id)
+        if address is None:
+            return Unavailable('the owner of the partition has left')
+        request = HopRequest('POST', CLAIMS_PATH, body=msgspec.msgpack.encode(call))
+        request = msgspec.structs.replace(request, length=len(request.body))
+        answer = self._connections.exchange(address, request, timeout_s)
+        try:
+            return _result_decoder.decode(answer.body)
+        except msgspec.MsgspecError as error:
+            return Unavailable(f'status {answer.status}: {error}')
+
+    def _serve_call(self, call: PartitionCall) -> ClaimResult:
+        if self._service is None:
+            return Unavailable('claims are not ready')
+        match call:
+            case ClaimCall(key, attempt, timeout_s):
+                return self._service.claim(key, attempt, timeout_s)
+            case RecordCall(key, attempt, answer):
+                done = self._service.record(key, attempt, answer)
+            case ReleaseCall(key, attempt):
+                done = self._service.release(key, attempt)
+        return Fresh() if done else Unavailable('the partition has another owner')
+
+
+def convert_result(result: ClaimResult) -> WorkAnswer:
+    """Return the answer to a request whose claim was not fresh."""
+    match result:
+        case Repeated(answer):
+            return _convert_record(answer)
+        case InProgress():
+            return WorkAnswer(NotRun(Reason.in_progress, 'an earlier send of it runs'))
+        case Unavailable(detail):
+            return WorkAnswer(NotRun(Reason.claims_unavailable, detail))
+        case NotRun():
+            return WorkAnswer(result)
+
+
+def make_record(answer: WorkAnswer) -> RecordedAnswer:
+    """Return what the claim log keeps of `answer`."""
+    match answer.outcome:
+        case Done(status):
+            return RecordedAnswer.make_done(
+                status, _find_content_type(answer), answer.body
+            )
+        case NotRun(reason) | OutcomeUnknown(reason):
+            return RecordedAnswer('unknown', 0, body=reason.value.encode())
+
+
+def _convert_record(record: RecordedAnswer) -> WorkAnswer:
+    if record.outcome != 'done':
+        unknown = OutcomeUnknown(Reason.claim_outcome_unknown, 'it ran before')
+        return WorkAnswer(unknown)
+    headers = (
+        ('Content-Type', record.content_type or 'application/octet-stream'),
+        ('Repeated', 'truncated' if record.truncated else 'whole'),
+    )
+    return WorkAnswer(Done(record.status), headers, record.body)
+
+
+def _find_content_type(answer: WorkAnswer) -> str:
+    for name, text in answer.headers:
+        if name.lower() == CONTENT_TYPE:
+            return text
+    return ''
 
-    def record(self, work, answer):
-        pass
 
-    def release(self, work):
-        pass
+def _name_partition(partition: int) -> str:
+    return f'claims:{partition}'
--- a/currantmast/runtime/owner.py
+++ b/currantmast/runtime/owner.py
@@ -109,7 +109,7 @@
         match answer.outcome:
             case NotRun():
                 self._claimant.release(work)
-            case Done():
+            case Done() | OutcomeUnknown():
                 self._claimant.record(work, answer)
         return answer
 
--- a/currantmast/runtime/peerapp.py
+++ b/currantmast/runtime/peerapp.py
@@ -7,7 +7,9 @@
 from currantmast.decisions.links import LinkReservation
 from currantmast.outcomes import NotRun, Reason
 from currantmast.publication import encode_configuration
+from currantmast.runtime.claiming import ClaimDesk
 from currantmast.runtime.entry import HEAD_BYTES, LINK_POLL_S, make_answer
+from currantmast.runtime.logs import log_event
 from currantmast.runtime.owner import Owner
 from currantmast.runtime.servers import (
     SMALL_BODY_BYTES,
@@ -32,13 +34,16 @@
         Decisions of this instance.
     owner : Owner
         Runs work on the targets of this instance.
+    claims : ClaimDesk
+        Serves the claim partitions of this instance.
     """
 
-    __slots__ = ('_owner', '_steering')
+    __slots__ = ('_claims', '_owner', '_steering')
 
-    def __init__(self, steering: Steering, owner: Owner) -> None:
+    def __init__(self, steering: Steering, owner: Owner, claims: ClaimDesk) -> None:
         self._steering = steering
         self._owner = owner
+        self._claims = claims
 
     def respond(self, inbound: Inbound) -> Answer:
         """Return the answer to a peer."""
@@ -48,12 +53,21 @@
             case '/config' if self._steering.configuration is not None:
                 body = encode_configuration(self._steering.configuration)
                 return Answer(200, body=body)
+            case '/claims':
+                return self._respond_claims(inbound)
             case '/fleet' if self._steering.peering.record.epoch:
                 return Answer(
                     200, body=msgspec.json.encode(self._steering.peering.record)
                 )
         return NOT_FOUND
 
+    def _respond_claims(self, inbound: Inbound) -> Answer:
+        try:
+            return Answer(200, body=self._claims.serve(inbound.read_body()))
+        except (BodyBroken, ValueError) as error:
+            log_event('claim_call_rejected', level='WARNING', error=error)
+            return Answer(400)
+
     def _respond_work(self, inbound: Inbound) -> Answer:
         request_id = inbound.headers.get('request-id', '')
         try:
--- a/currantmast/runtime/process.py
+++ b/currantmast/runtime/process.py
@@ -86,15 +86,15 @@
         self._follower = Follower(
             self._steering, self._client, self._fleet, self._connections
         )
-        self._claims = open_context(
-            ClaimDesk(self._steering, self._client, self._connections, self._find_peer)
+        self._claims = ClaimDesk(
+            self._steering, self._client, self._connections, self._find_peer
         )
         owner = Owner(self._steering, self._connections, self._claims)
         entry = Entry(
             self._steering, owner, self._connections, self._find_peer, self._metrics
         )
         self._public_app = PublicApp(self._steering, entry)
-        self._peer_app = PeerApp(self._steering, owner)
+        self._peer_app = PeerApp(self._steering, owner, self._claims)
 
     def __enter__(self) -> Self:
         """Return the instance with open listeners."""
