--- a/currantmast/experiment/fleet.py
+++ b/currantmast/experiment/fleet.py
@@ -1,5 +1,6 @@
 """A fleet of real processes on loopback addresses, for experiments and tests."""
 
+import signal
 import time
 from pathlib import Path
 from typing import Any
@@ -14,10 +15,12 @@
 from currantmast.experiment.processes import (
     POLL_S,
     CommandResult,
+    Process,
     ProcessFailed,
     run_command,
 )
 from currantmast.loading import load_deployment
+from currantmast.messages import Address
 
 READY_TIMEOUT_S = 20
 """Longest time for the start of one process, in seconds."""
@@ -74,6 +77,14 @@
         """Public addresses of all instances."""
         return tuple(str(instance.public) for instance in self.plan.instances)
 
+    def pause(self, name: str) -> None:
+        """Stop one process with SIGSTOP."""
+        self.get_process(name).send_signal(signal.SIGSTOP)
+
+    def resume(self, name: str) -> None:
+        """Continue a paused process."""
+        self.get_process(name).send_signal(signal.SIGCONT)
+
     def restart(self, instance_id: str, wait: bool = True) -> None:
         """Start an ended instance again, as a new incarnation.
 
@@ -101,7 +112,7 @@
         return run_command(arguments, self.directory, COMMAND_TIMEOUT_S)
 
     def wait_instances(self) -> None:
-        """Wait until every running instance is ready.
+        """Wait until every instance that should run is ready.
 
         Raises
         ------
@@ -110,8 +121,9 @@
         """
         deadline = time.monotonic() + READY_TIMEOUT_S
         for instance in self.plan.instances:
-            if self.get_process(instance.id).is_running():
-                self._wait_instance(instance, deadline)
+            if self.is_up(instance.id):
+                process = self.get_process(instance.id)
+                wait_ready(self.controls, process, instance.public, deadline)
 
     def start_all(self) -> None:
         """Start the stand-ins, publish the deployment and start the instances."""
@@ -145,10 +157,19 @@
         path = formats.write_document(self.directory / f'{instance.id}.yaml', document)
         self.start(instance.id, 'instance', path)
 
-    def _wait_instance(self, instance: InstancePlan, deadline: float) -> None:
-        process = self.get_process(instance.id)
-        while not self.controls.is_ok(instance.public, '/health/ready'):
-            process.check_running()
-            if time.monotonic() > deadline:
-                raise process.fail(f'not ready after {READY_TIMEOUT_S} s')
-            gevent.sleep(POLL_S)
+
+def wait_ready(
+    controls: Controls, process: Process, address: Address, deadline: float
+) -> None:
+    """Wait until the instance at `address` says that it is ready.
+
+    Raises
+    ------
+    ProcessFailed
+        If `process` ended, or if `deadline` (monotonic seconds) has passed.
+    """
+    while not controls.is_ok(address, '/health/ready'):
+        process.check_running()
+        if time.monotonic() > deadline:
+            raise process.fail('not ready in time')
+        gevent.sleep(POLL_S)
