--- a/currantmast/decisions/ledgers.py
+++ b/currantmast/decisions/ledgers.py
@@ -32,7 +32,6 @@
 from currantmast.clocks import Clock
 from currantmast.decisions.accounts import Account, Accounts
 from currantmast.decisions.allotment import (
-    NO_SHARE,
     Share,
     Terms,
     Want,
@@ -188,7 +187,9 @@
         Parameters
         ----------
         active_holders : iterable of Member
-            Members that should have a share; others are reduced to none.
+            The members of the adopted record. Only they get grants: a grant for a
+            departed incarnation must not reach a later one of the same id. What
+            others hold stays counted until `expire`.
         """
         if not self.is_open:
             return ()
@@ -199,7 +200,7 @@
         return tuple(
             (key.id, account.pending)
             for key, account in self._accounts.list_all()
-            if account.pending is not None
+            if account.pending is not None and key in wanted
         )
 
     def _choose_wanted(self, active: Iterable[MemberKey]) -> dict[MemberKey, Share]:
@@ -219,8 +220,8 @@
             if _is_pressed(self._accounts, self._terms, wanted)
             else REDUCTION_THRESHOLD
         )
-        for key, account in self._accounts.list_all():
-            want = wanted.get(key, NO_SHARE)
+        for key, want in wanted.items():
+            account = self._accounts.get(key)
             if account.pending is None and _exceeds(account.confirmed, want, threshold):
                 self._accounts.grant(key, account.confirmed.limit(want))
 
