--- a/currantmast/experiment/groups.py
+++ b/currantmast/experiment/groups.py
@@ -99,7 +99,8 @@
 
     def end_all(self, failure: BaseException | None) -> None:
         """End all processes; keep the directory and show the outputs after a failure."""
-        for process in self.list_processes():
+        # Latest first, so that no process sees the end of one that it depends on.
+        for process in reversed(self.list_processes()):
             process.end()
         if failure is not None:
             self.show_outputs()
--- a/tests/integration/test_path.py
+++ b/tests/integration/test_path.py
@@ -84,4 +84,4 @@
             path = f'calls/entry-{time.monotonic_ns()}'
             request = Call(service.id, 'GET', path)
             response = client.send(address, request, DEADLINE_S)
-        assert response.headers['outcome'] == 'done'
+        assert response.headers['outcome'] == 'done', response.body
