Pace the calls of the path tests

An idle team holds one unit of burst in each instance, so calls one after the other exceed it. The path tests are about the path; the load tests cover rates.

--- a/tests/integration/test_path.py
+++ b/tests/integration/test_path.py
@@ -2,6 +2,7 @@
 
 import time
 
+import gevent
 import pytest
 
 from currantmast.client import Call, Client
@@ -18,6 +19,7 @@
 from currantmast.outcomes import NotRun, Reason
 
 DEADLINE_S = 8
+PACE_S = 0.3
 
 
 def list_works(plan, name):
@@ -34,10 +36,17 @@
             yield Work(call_id, caller, service, body, key)
 
 
+def send_paced(works):
+    """Send one call at a time, slower than the share of a team without demand."""
+    for work in works:
+        yield make_call(work, DEADLINE_S)
+        gevent.sleep(PACE_S)
+
+
 def test_each_kind_of_request_runs_once_from_every_site(fleet):
     with Scenario(fleet, 'path') as scenario:
         works = list(list_works(fleet.plan, 'path'))
-        scenario.calls.extend(make_call(work, DEADLINE_S) for work in works)
+        scenario.calls.extend(send_paced(works))
         assert scenario.inspect() == ()
         assert count_unanswered(scenario.calls) == {}
         assert len(scenario.history.executions) == len(works)
@@ -47,7 +56,7 @@
     homes = {site.id: site.region for site in fleet.plan.deployment.sites}
     with Scenario(fleet, 'home') as scenario:
         works = list(list_works(fleet.plan, 'home'))
-        scenario.calls.extend(make_call(work, DEADLINE_S) for work in works)
+        scenario.calls.extend(send_paced(works))
         scenario.inspect()
         places = {run.call_id: run.region for run in scenario.history.executions}
         assert places == {work.id: homes[work.caller.site.id] for work in works}
