Refuse fewer requests inside a team's rate

Change: unused budget is divided equally besides the demand; a request above its team's share waits up to rate_wait_ms (300) before it is refused; an instance is ready, and named in look-ups, only once it holds shares.

--- a/currantmast/decisions/admission.py
+++ b/currantmast/decisions/admission.py
@@ -40,6 +40,9 @@
     def take(self, budget: str, amount: float = 1) -> bool:
         """Take `amount` units of `budget`, or return False and take nothing."""
 
+    def take_late(self, budget: str, amount: float = 1) -> bool:
+        """Take units for a request that `take` has refused before."""
+
     def give_back(self, budget: str, amount: float) -> None:
         """Return `amount` units that were taken but not used."""
 
@@ -139,10 +142,20 @@
         if self._tables is None or configuration.version >= self._tables.version:
             self._tables = make_tables(configuration)
 
-    def admit(self, request: AdmissionRequest) -> Admitted | NotRun:
+    def admit(
+        self, request: AdmissionRequest, *, late: bool = False
+    ) -> Admitted | NotRun:
         """Return the admitted request or why it is refused.
 
         The rate is checked last, so that only an admitted request uses a rate token.
+
+        Parameters
+        ----------
+        request : AdmissionRequest
+            The request.
+        late : bool
+            Whether the request was refused for its rate before and has waited; it does
+            not count as demand again.
         """
         tables = self._tables
         if tables is None:
@@ -156,7 +169,7 @@
             _refuse_caller(request.key, team, service)
             or self._refuse_without_lease()
             or self._refuse_limits(request, service, timeout_s)
-            or self._refuse_rate(team)
+            or self._refuse_rate(team, late=late)
         )
         return refusal or Admitted(
             team=team and team.id,
@@ -193,8 +206,9 @@
             return NotRun(Reason.request_key_expired)
         return None
 
-    def _refuse_rate(self, team: Team | None) -> NotRun | None:
-        if team is None or self._shares.take(f'team:{team.id}'):
+    def _refuse_rate(self, team: Team | None, *, late: bool) -> NotRun | None:
+        take = self._shares.take_late if late else self._shares.take
+        if team is None or take(f'team:{team.id}'):
             return None
         return NotRun(Reason.rate_exceeded, f'team {team.id}')
 
--- a/currantmast/decisions/allotment.py
+++ b/currantmast/decisions/allotment.py
@@ -136,15 +136,25 @@
     if terms.units >= RESERVE_MIN_UNITS:
         reserve = math.ceil(terms.units * RESERVE_FRACTION)
     idle_limit = IDLE_FRACTION * terms.rate / len(wants)
-    weights = {
-        key: _weigh(want) if want.demand > idle_limit else 0
-        for key, want in wants.items()
-    }
+    spread = _count_unused(terms, wants) / len(wants) if base else 0
+    weights = {key: spread + _weigh(want, idle_limit) for key, want in wants.items()}
     spare = max(0, terms.units - reserve - base * len(wants))
     return {key: base + more for key, more in divide_units(spare, weights).items()}
 
 
-def _weigh(want: Want) -> float:
+def _count_unused(terms: Terms, wants: Wants) -> float:
+    """Return the rate that the demand leaves unused.
+
+    It is divided equally, besides the demand, so that sudden demand anywhere finds a
+    burst without waiting for the owner.
+    """
+    demand = sum(want.demand for want in wants.values())
+    return max(0, terms.rate - demand)
+
+
+def _weigh(want: Want, idle_limit: float) -> float:
+    if want.demand <= idle_limit:
+        return 0
     if want.units:
         return want.demand * INCUMBENT_WEIGHT
     return want.demand * (1 + want.waited_s / WAIT_WEIGHT_S)
@@ -154,9 +164,10 @@
     terms: Terms, wants: Wants, units: Mapping[MemberKey, int], policy: Policy
 ) -> dict[MemberKey, float]:
     floor = policy.floor_share * terms.rate
-    demands = {key: want.demand for key, want in wants.items()}
-    unused = max(0, terms.rate - floor - sum(demands.values()))
-    reserve = min(RESERVE_FRACTION * terms.rate, unused)
+    unused = _count_unused(terms, wants)
+    spread = unused / len(wants)
+    demands = {key: want.demand + spread for key, want in wants.items()}
+    reserve = min(RESERVE_FRACTION * terms.rate, max(0, unused - floor))
     floors = _divide_rate(floor, dict.fromkeys(wants, 1.0), units)
     rates = _divide_rate(terms.rate - floor - reserve, demands, units)
     return {key: floors[key] + rates[key] for key in wants}
--- a/currantmast/decisions/budgets.py
+++ b/currantmast/decisions/budgets.py
@@ -85,9 +85,17 @@
         if meter is None:
             meter = self._demands.setdefault(budget, DemandMeter(self._clock))
         meter.note(amount)
+        return self.take_late(budget, amount)
+
+    def take_late(self, budget: str, amount: float = 1) -> bool:
+        """Use `amount` units for a request whose first attempt `take` has counted."""
         bucket = self._buckets.get(budget)
         return bucket is not None and bucket.take(amount)
 
+    def holds_any(self, prefix: str) -> bool:
+        """Return whether a share of a budget whose name has `prefix` is held."""
+        return any(name.startswith(prefix) for name in self._held)
+
     def give_back(self, budget: str, amount: float) -> None:
         """Return units taken in the last seconds and certainly not used."""
         bucket = self._buckets.get(budget)
--- a/currantmast/deployment.py
+++ b/currantmast/deployment.py
@@ -51,6 +51,8 @@
         Relative weights of network delay and of free slots in routing.
     retry_ratio : float
         Retries as a fraction of requests.
+    rate_wait_ms : int
+        Longest time in milliseconds that a request above its team's share waits for it.
     queue_wait_ms : int
         Longest time in milliseconds that a request waits for a slot.
     floor_share : float
@@ -62,6 +64,7 @@
     headroom_weight: NotNegative = 1
     retry_ratio: Fraction = 0.1
     queue_wait_ms: Milliseconds = 500
+    rate_wait_ms: Milliseconds = 300
     floor_share: Fraction = 0.05
 
 
--- a/currantmast/messages.py
+++ b/currantmast/messages.py
@@ -211,8 +211,8 @@
         Configuration version in force at the sender.
     sent_at : float
         Monotonic time of the sender in seconds; only echoed, never compared.
-    leased : bool
-        Whether the sender's lease was valid.
+    ready : bool
+        Whether the sender can admit keyed requests.
     """
 
     sender: str
@@ -220,7 +220,7 @@
     epoch: int
     version: int
     sent_at: float
-    leased: bool = False
+    ready: bool = False
     demands: tuple[Demand, ...] = ()
     shares: tuple[ShareHeld, ...] = ()
     capacity: tuple[Capacity, ...] = ()
--- a/currantmast/peering.py
+++ b/currantmast/peering.py
@@ -23,6 +23,7 @@
 )
 
 SILENCE_S = 2.0
+TEAM_PREFIX = 'team:'
 
 
 class Report(msgspec.Struct, frozen=True):
@@ -93,7 +94,7 @@
             epoch=self.record.epoch,
             version=self.version,
             sent_at=self._clock.now(),
-            leased=self.lease.is_valid(),
+            ready=self.is_ready,
             demands=self.shares.list_demands(),
             shares=self.shares.list_held(),
             capacity=report.capacity,
@@ -168,6 +169,11 @@
             if member.id != self.member.id
         )
 
+    @property
+    def is_ready(self) -> bool:
+        """Whether keyed requests can be admitted: a valid lease and shares of rates."""
+        return self.lease.is_valid() and self.shares.holds_any(TEAM_PREFIX)
+
     @property
     def is_member(self) -> bool:
         """Whether the adopted record lists this run."""
--- a/currantmast/runtime/entry.py
+++ b/currantmast/runtime/entry.py
@@ -43,6 +43,9 @@
 MS_PER_S = 1000
 REQUEST_ID_BYTES = 8
 LINK_POLL_S = 0.01
+RATE_POLL_S = 0.02
+# Requests of one instance that may wait for their team's share at once.
+MAX_RATE_WAITERS = 64
 # Bytes of a request line and headers, counted against a link besides the body.
 HEAD_BYTES = 512
 BEARER = 'bearer '
@@ -89,7 +92,14 @@
         Receives latencies and outcomes.
     """
 
-    __slots__ = ('_connections', '_find_peer', '_metrics', '_owner', '_steering')
+    __slots__ = (
+        '_connections',
+        '_find_peer',
+        '_metrics',
+        '_owner',
+        '_rate_waiters',
+        '_steering',
+    )
 
     def __init__(
         self,
@@ -104,6 +114,7 @@
         self._connections = connections
         self._find_peer = find_peer
         self._metrics = metrics
+        self._rate_waiters = 0
 
     def respond(self, inbound: Inbound, service: str, path: str) -> Answer:
         """Return the answer to a caller's request for `path` of `service`."""
@@ -121,7 +132,7 @@
             request = _parse_request(inbound, service)
         except ValueError as error:
             return WorkAnswer(NotRun(Reason.bad_request, str(error)))
-        admitted = self._steering.admission.admit(request)
+        admitted = self._admit(request)
         if isinstance(admitted, NotRun):
             return WorkAnswer(admitted)
         try:
@@ -131,6 +142,25 @@
         caller = inbound.headers.get('caller-address', inbound.remote)
         return self._steer(Trip(work, self._steering.locate(caller)))
 
+    def _admit(self, request: AdmissionRequest) -> Admitted | NotRun:
+        """Admit `request`, after a short wait if only its team's share is used up.
+
+        Shares follow demand with a delay of a heartbeat or two; a request that comes
+        earlier is inside its team's rate and must not be refused for that.
+        """
+        admission = self._steering.admission
+        admitted = admission.admit(request)
+        clock = self._steering.clock
+        give_up_at = clock.now() + self._steering.rate_wait_s
+        while _waits_for_rate(admitted) and self._rate_waiters < MAX_RATE_WAITERS:
+            if clock.now() >= give_up_at:
+                break
+            self._rate_waiters += 1
+            clock.sleep(RATE_POLL_S)
+            self._rate_waiters -= 1
+            admitted = admission.admit(request, late=True)
+        return admitted
+
     def _make_work(
         self, inbound: Inbound, path: str, request_id: str, admitted: Admitted
     ) -> Work:
@@ -364,6 +394,10 @@
     return WorkAnswer(OutcomeUnknown(reason, refusal.detail))
 
 
+def _waits_for_rate(admitted: Admitted | NotRun) -> bool:
+    return isinstance(admitted, NotRun) and admitted.reason is Reason.rate_exceeded
+
+
 def _find_key(inbound: Inbound) -> str | None:
     text = inbound.headers.get('authorization', '')
     if not text.lower().startswith(BEARER):
--- a/currantmast/runtime/publicapp.py
+++ b/currantmast/runtime/publicapp.py
@@ -73,4 +73,4 @@
         return encode_json(OK, answer, lifetime)
 
     def _is_ready(self) -> bool:
-        return self._steering.lease.is_valid() and not self.is_leaving
+        return self._steering.peering.is_ready and not self.is_leaving
--- a/currantmast/steering.py
+++ b/currantmast/steering.py
@@ -11,7 +11,7 @@
 from currantmast.decisions.retries import RetryBudget
 from currantmast.decisions.routing import OwnerView, Route, Router, RouteRequest, Score
 from currantmast.decisions.shifts import FractionCounter, choose_region, name_budget
-from currantmast.deployment import Configuration, Shift, Timing
+from currantmast.deployment import Configuration, PolicyKind, Shift, Timing
 from currantmast.directory import Directory, LookupAnswer
 from currantmast.inventory import Inventory
 from currantmast.messages import FleetRecord, Heartbeat, Member
@@ -21,6 +21,8 @@
 from currantmast.target_table import TargetTable
 from currantmast.views import OwnerViews
 
+MS_PER_S = 1000
+
 
 class Origin(msgspec.Struct, frozen=True):
     """Where a request comes from and where it is to run.
@@ -70,12 +72,22 @@
         self.blocks: BlockTable | None = None
         self._router: Router | None = None
         self._directory: Directory | None = None
+        self._unready: frozenset[str] = frozenset()
         self._fractions = FractionCounter()
 
     def __repr__(self) -> str:
         """Return the state of the fleet as this instance sees it."""
         return f'<Steering {self.member.id} {self.peering!r}>'
 
+    @property
+    def rate_wait_s(self) -> float:
+        """Longest wait in seconds of a request for its team's share."""
+        if self.inventory is None:
+            return 0
+        policy = self.inventory.deployment.base.policy
+        waits = policy.kind is PolicyKind.adaptive
+        return policy.rate_wait_ms / MS_PER_S if waits else 0
+
     def adopt_configuration(self, configuration: Configuration) -> bool:
         """Put a newer configuration in force; return whether it was newer."""
         held = self.configuration
@@ -109,6 +121,7 @@
     def observe_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Take in what a peer reports about its work."""
         self.views.observe(heartbeat.sender, heartbeat.capacity)
+        self.views.note_ready(heartbeat.sender, heartbeat.ready)
         self.targets.observe_remaining(heartbeat.sender, heartbeat.remaining)
         self.quarantine.merge(heartbeat.suspects)
 
@@ -141,8 +154,11 @@
 
     def find_instances(self, caller: str, origin: Origin) -> LookupAnswer:
         """Return the instances that `caller` should use, best first."""
-        if self._directory is None:
-            self._directory = Directory(self.peering.record, self.inventory)
+        unready = self.views.list_unready(self.peering.record, self.member.id)
+        if self._directory is None or unready != self._unready:
+            self._unready = unready
+            record = drop_members(self.peering.record, unready)
+            self._directory = Directory(record, self.inventory)
         return self._directory.find(caller, origin.home)
 
     def route(self, request: RouteRequest) -> Route | NotRun:
@@ -177,3 +193,9 @@
         if not self._fractions.select(shift.id, shift.fraction):
             return False
         return self.shares.take(name_budget(shift))
+
+
+def drop_members(record: FleetRecord, ids: frozenset[str]) -> FleetRecord:
+    """Return `record` without the members that can't serve yet, if any others can."""
+    kept = tuple(member for member in record.members if member.id not in ids)
+    return msgspec.structs.replace(record, members=kept or record.members)
--- a/currantmast/views.py
+++ b/currantmast/views.py
@@ -22,11 +22,12 @@
         Source of time.
     """
 
-    __slots__ = ('_clock', '_seen')
+    __slots__ = ('_clock', '_seen', '_unready')
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._seen: dict[str, _Seen] = {}
+        self._unready: set[str] = set()
 
     def __repr__(self) -> str:
         """Return the number of owners known."""
@@ -37,6 +38,22 @@
         by_service = {entry.service: entry for entry in capacity}
         self._seen[member_id] = _Seen(by_service, self._clock.now(), {})
 
+    def note_ready(self, member_id: str, ready: bool) -> None:
+        """Note whether `member_id` can admit keyed requests."""
+        if ready:
+            self._unready.discard(member_id)
+        else:
+            self._unready.add(member_id)
+
+    def list_unready(self, record: FleetRecord, self_id: str) -> frozenset[str]:
+        """Return the members that can't admit keyed requests or were never heard."""
+        return frozenset(
+            member.id
+            for member in record.members
+            if member.id != self_id
+            and (member.id in self._unready or member.id not in self._seen)
+        )
+
     def note_sent(self, member_id: str, service: str) -> None:
         """Count a request that was sent to `member_id`."""
         seen = self._seen.get(member_id)
