Measure costs against the size of the fleet

docs/design.md states the size in two years; nothing in the repository showed how costs grow towards it. Each command under 'experiment slopes' measures one cost at several sizes and prints the least-squares line, its residual and the exponent of the best power law, so that a quadratic cost is not read as linear. A figure from a single size was ruled out: it hides the shape.

--- /dev/null
+++ b/currantmast/experiment/claimslopes.py
@@ -0,0 +1,102 @@
+"""Cost of claims and of reading a partition's log at takeover."""
+
+import time
+from collections.abc import Iterator, Sequence
+
+from currantmast.clocks import ManualClock
+from currantmast.decisions.claimkeys import ClaimKey
+from currantmast.decisions.claimrecords import (
+    ClaimBatch,
+    RecordedAnswer,
+    decode_batch,
+    encode_batch,
+)
+from currantmast.decisions.claims import ClaimLog
+from currantmast.experiment.usage import measure_step
+
+Row = list[float]
+
+LIFETIME_S = 900.0
+CLAIMS_PER_BATCH = 200
+"""Claims and answers of one batch; both together stay within its 400 operations."""
+
+US_PER_S = 1_000_000
+CLAIM_COSTS = (
+    'log B',
+    'B a claim',
+    'largest batch B',
+    'claim and answer us',
+    'batches',
+    'load s',
+    'load us a claim',
+    'RSS MB',
+)
+
+
+def measure_claims(sizes: Sequence[int], body_bytes: int) -> Iterator[Row]:
+    """Yield the cost of a partition's log against its number of claims.
+
+    Parameters
+    ----------
+    sizes : sequence of int
+        Claims in the log, each with its answer.
+    body_bytes : int
+        Size of each recorded answer.
+    """
+    for size in sizes:
+        yield [size, *_measure_log(size, body_bytes)]
+
+
+def _measure_log(size: int, body_bytes: int) -> Row:
+    clock = ManualClock(1)
+    started_s = time.process_time()
+    bodies = list(_write_log(size, body_bytes, clock))
+    write_s = time.process_time() - started_s
+    loaded = measure_step(lambda: _load(bodies, clock))
+    total = sum(map(len, bodies))
+    return [
+        total,
+        total / size,
+        max(map(len, bodies)),
+        write_s / size * US_PER_S,
+        len(bodies),
+        loaded.cpu_s,
+        loaded.cpu_s / size * US_PER_S,
+        loaded.grown_mb,
+    ]
+
+
+def _write_log(size: int, body_bytes: int, clock: ManualClock) -> Iterator[bytes]:
+    log = ClaimLog(0, clock, LIFETIME_S, 'region00-00000/0123456789abcdef')
+    log.load((), -1, clock.now())
+    answer = RecordedAnswer.make_done(200, 'application/json', b'x' * body_bytes)
+    for first in range(0, size, CLAIMS_PER_BATCH):
+        keys = [
+            _make_key(number, clock)
+            for number in range(first, min(size, first + CLAIMS_PER_BATCH))
+        ]
+        for number, key in enumerate(keys, first):
+            log.claim(key, f'{number:032x}')
+        yield _write_batch(log)
+        for number, key in enumerate(keys, first):
+            log.record(key, f'{number:032x}', answer)
+        yield _write_batch(log)
+
+
+def _write_batch(log: ClaimLog) -> bytes:
+    batch = log.make_batch()
+    body = encode_batch(batch)
+    log.commit(batch)
+    return body
+
+
+def _load(bodies: list[bytes], clock: ManualClock) -> ClaimLog:
+    batches: list[ClaimBatch] = [decode_batch(body) for body in bodies]
+    log = ClaimLog(0, clock, LIFETIME_S)
+    log.load(batches, len(batches) - 1, clock.now())
+    return log
+
+
+def _make_key(number: int, clock: ManualClock) -> ClaimKey:
+    issued_at = int(clock.wall())
+    return ClaimKey('team00001', 'orders', f'{issued_at}.{number:032x}', issued_at)
--- a/currantmast/experiment/demo.py
+++ b/currantmast/experiment/demo.py
@@ -11,6 +11,7 @@
     format_summary,
 )
 from currantmast.experiment.runs import RunSettings, run_experiment
+from currantmast.experiment.slopes import SlopeCommands
 
 DEMO_SECONDS = 15
 DEMO_RATE = 120
@@ -23,6 +24,9 @@
 class ExperimentCommands:
     """Run a fleet of local processes under load and check what they did."""
 
+    def __init__(self) -> None:
+        self.slopes = SlopeCommands()
+
     def demo(
         self,
         deployment_dir: str,
