Judge the shape of a cost by its largest sizes

Fixed costs hide the growth at small sizes: the time of a look-up against members was named 'below linear' although it doubles from 1,000 to 2,100. A power law over all points was ruled out for that reason; the exponent is now that between the two largest sizes.

--- a/currantmast/experiment/fitting.py
+++ b/currantmast/experiment/fitting.py
@@ -42,8 +42,8 @@
         Root of the mean squared distance of the points from the line, in units of
         the cost.
     exponent : float
-        Exponent of the power law that fits best; not a number if a point is not
-        positive.
+        Exponent of the power law through the points of the two largest sizes; not a
+        number if one is not positive.
     """
 
     slope: float
@@ -92,7 +92,12 @@
 
 
 def _find_exponent(sizes: Sequence[float], costs: Sequence[float]) -> float:
-    if min(*sizes, *costs) <= 0:
+    """Return the exponent between the two largest sizes.
+
+    Small sizes show fixed costs in the first place, which hide the growth.
+    """
+    points = sorted(zip(sizes, costs, strict=True))
+    (size, cost), (largest, largest_cost) = points[-MIN_POINTS:]
+    if min(size, cost, largest_cost) <= 0 or size == largest:
         return math.nan
-    logs = [math.log(size) for size in sizes]
-    return statistics.linear_regression(logs, [math.log(cost) for cost in costs])[0]
+    return math.log(largest_cost / cost) / math.log(largest / size)
--- a/currantmast/experiment/tableslopes.py
+++ b/currantmast/experiment/tableslopes.py
@@ -12,7 +12,7 @@
     make_deployment,
     make_steering,
 )
-from currantmast.experiment.usage import Usage, measure_step
+from currantmast.experiment.usage import Usage, measure_step, read_memory_mb
 from currantmast.publication import (
     _page_encoder,
     decode_configuration,
@@ -37,6 +37,7 @@
     'peak MB',
     'build s',
     'longest stop ms',
+    'process RSS MB',
     'look-up us',
 )
 PAGE_COSTS = (
@@ -159,6 +160,7 @@
         table.peak_mb,
         table.cpu_s,
         meter.longest_s * MS_PER_S,
+        read_memory_mb('self'),
         time_lookups(steering, seed) * US_PER_S,
     ]
 
