--- a/currantmast/experiment/slopes.py
+++ b/currantmast/experiment/slopes.py
@@ -10,6 +10,7 @@
     controlslopes,
     fleetslopes,
     httpslopes,
+    relayslopes,
     shareslopes,
     tableslopes,
 )
@@ -21,6 +22,7 @@
 BUDGET_SIZES = (8, 40, 100, 400)
 MEMBER_SIZES = (9, 100, 500, 1000, 2100)
 HOLDER_SIZES = (9, 36, 90, 300, 900)
+RELAY_SIZES = (12, 24, 48, 96)
 FLEET_SIZES = (3, 9, 18, 36)
 CLAIM_SIZES = (1000, 10_000, 100_000)
 
@@ -108,6 +110,19 @@
         rows = controlslopes.measure_budgets(sizes, peers)
         _print(f'budgets --peers={peers}', 'teams', controlslopes.HEARTBEAT_COSTS, rows)
 
+    @take_sizes
+    def messages(self, sizes: tuple[int, ...] = BUDGET_SIZES) -> None:
+        """Messages of a member under a relay tier against the budgets it uses."""
+        rows = relayslopes.measure_messages(sizes)
+        _print('messages', 'budgets', relayslopes.MESSAGE_COSTS, rows)
+
+    @take_sizes
+    def relays(self, sizes: tuple[int, ...] = RELAY_SIZES, budgets: int = 8) -> None:
+        """Messages of a relay against the members of its failure domain."""
+        rows = relayslopes.measure_relays(sizes, budgets)
+        command = f'relays --budgets={budgets}'
+        _print(command, 'members', relayslopes.RELAY_COSTS, rows)
+
     @take_sizes
     def ownership(self, sizes: tuple[int, ...] = MEMBER_SIZES) -> None:
         """Fleet record and ownership against members."""
--- a/tests/test_slopes.py
+++ b/tests/test_slopes.py
@@ -8,6 +8,7 @@
     claimslopes,
     controlslopes,
     httpslopes,
+    relayslopes,
     shareslopes,
     tableslopes,
 )
@@ -98,6 +99,14 @@
         controlslopes.HEARTBEAT_COSTS,
         lambda: controlslopes.measure_budgets(SIZES, 3),
     ),
+    'messages': (
+        relayslopes.MESSAGE_COSTS,
+        lambda: relayslopes.measure_messages(SIZES),
+    ),
+    'relays': (
+        relayslopes.RELAY_COSTS,
+        lambda: relayslopes.measure_relays(SIZES, 2),
+    ),
     'ownership': (
         controlslopes.OWNERSHIP_COSTS,
         lambda: controlslopes.measure_ownership(SIZES),
