Measure takeover of a claim log, metrics and the status answer

A computation from the call budget alone was ruled out for the takeover, since reads run eight at a time.

--- a/currantmast/experiment/controlslopes.py
+++ b/currantmast/experiment/controlslopes.py
@@ -25,6 +25,7 @@
     encode_message,
 )
 from currantmast.runtime.fleet import decode_record
+from currantmast.runtime.status import describe_status
 from currantmast.steering import Steering
 
 Row = list[float]
@@ -56,6 +57,8 @@
     'removal check ms',
     'settled check ms',
     'confirmations ms',
+    'status B',
+    'status ms',
 )
 
 
@@ -227,6 +230,8 @@
         _time(lambda: steering.peering.observer.choose_removals(first)) * MS_PER_S,
         _time_settled(members) * MS_PER_S,
         _time_confirmations(members) * MS_PER_S,
+        len(msgspec.json.encode(describe_status(steering))),
+        _time(lambda: msgspec.json.encode(describe_status(steering))) * MS_PER_S,
     ]
 
 
--- a/currantmast/experiment/slopes.py
+++ b/currantmast/experiment/slopes.py
@@ -10,9 +10,11 @@
     controlslopes,
     fleetslopes,
     httpslopes,
+    metricslopes,
     relayslopes,
     shareslopes,
     tableslopes,
+    takeoverslopes,
 )
 from currantmast.experiment.slopetables import SlopeTable, format_table
 
@@ -23,6 +25,8 @@
 MEMBER_SIZES = (9, 100, 500, 1000, 2100)
 HOLDER_SIZES = (9, 36, 90, 300, 900)
 RELAY_SIZES = (12, 24, 48, 96)
+BATCH_SIZES = (50, 200, 500, 1000)
+REQUEST_SIZES = (1000, 10_000, 50_000)
 FLEET_SIZES = (3, 9, 18, 36)
 CLAIM_SIZES = (1000, 10_000, 100_000)
 
@@ -123,6 +127,18 @@
         command = f'relays --budgets={budgets}'
         _print(command, 'members', relayslopes.RELAY_COSTS, rows)
 
+    @take_sizes
+    def takeover(self, sizes: tuple[int, ...] = BATCH_SIZES) -> None:
+        """Reading a partition's log from the object API against its batches."""
+        rows = takeoverslopes.measure_takeover(sizes)
+        _print('takeover', 'batches', takeoverslopes.TAKEOVER_COSTS, rows)
+
+    @take_sizes
+    def metrics(self, sizes: tuple[int, ...] = REQUEST_SIZES) -> None:
+        """Metrics sent to statsd against requests."""
+        rows = metricslopes.measure_metrics(sizes)
+        _print('metrics', 'requests', metricslopes.METRIC_COSTS, rows)
+
     @take_sizes
     def ownership(self, sizes: tuple[int, ...] = MEMBER_SIZES) -> None:
         """Fleet record and ownership against members."""
--- a/tests/test_slopes.py
+++ b/tests/test_slopes.py
@@ -8,9 +8,11 @@
     claimslopes,
     controlslopes,
     httpslopes,
+    metricslopes,
     relayslopes,
     shareslopes,
     tableslopes,
+    takeoverslopes,
 )
 from currantmast.experiment.fitting import Shape, TooFewSizes, fit_line
 from currantmast.experiment.slopetables import SlopeTable, format_table
@@ -99,6 +101,14 @@
         controlslopes.HEARTBEAT_COSTS,
         lambda: controlslopes.measure_budgets(SIZES, 3),
     ),
+    'takeover': (
+        takeoverslopes.TAKEOVER_COSTS,
+        lambda: takeoverslopes.measure_takeover(SIZES),
+    ),
+    'metrics': (
+        metricslopes.METRIC_COSTS,
+        lambda: metricslopes.measure_metrics(SIZES),
+    ),
     'messages': (
         relayslopes.MESSAGE_COSTS,
         lambda: relayslopes.measure_messages(SIZES),
