--- a/currantmast/experiment/tableslopes.py
+++ b/currantmast/experiment/tableslopes.py
@@ -4,9 +4,11 @@
 import time
 from collections.abc import Callable, Iterator, Sequence
 
+import msgspec
+
 from currantmast.blocks import BlockTable
 from currantmast.clocks import LoopClock
-from currantmast.deployment import Configuration, Deployment
+from currantmast.deployment import Configuration, Deployment, Operations
 from currantmast.experiment.synthetic import (
     make_address,
     make_deployment,
@@ -14,6 +16,8 @@
 )
 from currantmast.experiment.usage import Usage, measure_step, read_memory_mb
 from currantmast.publication import (
+    Head,
+    PageReference,
     _page_encoder,
     decode_configuration,
     decode_pages,
@@ -29,6 +33,8 @@
 US_PER_S = 1_000_000
 MS_PER_S = 1000
 CALLER_BITS = 24
+DIGEST_DIGITS = 64
+WRITER_DIGITS = 16
 
 BLOCK_COSTS = (
     'columns B',
@@ -44,6 +50,7 @@
     'pages',
     'largest page B',
     'all pages B',
+    'head B',
     'encode s',
     'decode s',
     'peer transfer B',
@@ -184,6 +191,7 @@
         len(bodies),
         max(lengths),
         sum(lengths),
+        _count_head(len(bodies)),
         encoded.cpu_s,
         decoded.cpu_s,
         len(transfer),
@@ -193,6 +201,13 @@
     ]
 
 
+def _count_head(pages: int) -> int:
+    """Return the size of a head that names `pages` pages and no operation."""
+    page = PageReference('0' * DIGEST_DIGITS, '0' * DIGEST_DIGITS)
+    head = Head(1, (page,) * pages, Operations(), '0' * WRITER_DIGITS)
+    return len(msgspec.json.encode(head))
+
+
 def _prepare(step: Callable[[int], object], size: int) -> Callable[[], object]:
     return lambda: step(size)
 
