Measure when a region cut off by one other is removed

Reading the removal rule suggested that one region's members remove those of another region which all others still hear, since each judges by its own sightings alone. Loss of the lease was ruled out as the cause: the removed members' heartbeats are heard by 18 regions throughout.

--- /dev/null
+++ b/currantmast/experiment/cutslopes.py
@@ -0,0 +1,60 @@
+"""When members remove those of a region from which only their own region is cut off."""
+
+from collections.abc import Iterator, Sequence
+
+from currantmast.clocks import ManualClock
+from currantmast.decisions.membership import Observer
+from currantmast.deployment import Timing
+from currantmast.experiment.synthetic import make_record
+from currantmast.messages import FleetRecord, Heartbeat, Member
+
+Row = list[float]
+
+STEP_S = 1.0
+CUT_S = 3600.0
+FIRST_REGION = 'region00'
+MIDDLE_REGION = 'region10'
+OTHER_REGION = 'region15'
+CUT_COSTS = (
+    'cut from the first region s',
+    'cut from a middle region s',
+    'members removed',
+)
+
+
+def measure_cuts(sizes: Sequence[int]) -> Iterator[Row]:
+    """Yield the time until a region cut from one other region is removed.
+
+    Its members are heard by all other regions throughout. The first region is that of
+    the member with the lowest id, the middle one has half of the ids below its own.
+    A time of `CUT_S` means that nobody was removed.
+    """
+    for size in sizes:
+        record = make_record(size)
+        first_s, _ = _find_removal(record, FIRST_REGION)
+        middle_s, removed = _find_removal(record, MIDDLE_REGION)
+        yield [size, first_s, middle_s, removed]
+
+
+def _find_removal(record: FleetRecord, region: str) -> tuple[float, int]:
+    clock = ManualClock(1)
+    member = next(one for one in record.members if one.region == region)
+    observer = Observer(clock, Timing(), member.id, member.incarnation)
+    observer.adopt_record(record)
+    heard = [one for one in record.members if one.region != OTHER_REGION]
+    elapsed_s: float = 0
+    while elapsed_s < CUT_S:
+        clock.advance(STEP_S)
+        elapsed_s += STEP_S
+        _hear_all(observer, heard)
+        removed = observer.choose_removals(member.id)
+        if removed:
+            return elapsed_s, len(removed)
+    return CUT_S, 0
+
+
+def _hear_all(observer: Observer, members: list[Member]) -> None:
+    for member in members:
+        observer.observe_heartbeat(
+            Heartbeat(member.id, member.incarnation, 1, 1, sent_at=1)
+        )
--- a/currantmast/experiment/slopes.py
+++ b/currantmast/experiment/slopes.py
@@ -8,6 +8,7 @@
 from currantmast.experiment import (
     claimslopes,
     controlslopes,
+    cutslopes,
     fleetslopes,
     httpslopes,
     metricslopes,
@@ -27,6 +28,7 @@
 RELAY_SIZES = (12, 24, 48, 96)
 BATCH_SIZES = (50, 200, 500, 1000)
 REQUEST_SIZES = (1000, 10_000, 50_000)
+CUT_SIZES = (40, 200, 1000, 2100)
 FLEET_SIZES = (3, 9, 18, 36)
 CLAIM_SIZES = (1000, 10_000, 100_000)
 
@@ -139,6 +141,12 @@
         rows = metricslopes.measure_metrics(sizes)
         _print('metrics', 'requests', metricslopes.METRIC_COSTS, rows)
 
+    @take_sizes
+    def cuts(self, sizes: tuple[int, ...] = CUT_SIZES) -> None:
+        """Time until a region cut from one other region is removed, by members."""
+        rows = cutslopes.measure_cuts(sizes)
+        _print('cuts', 'members', cutslopes.CUT_COSTS, rows)
+
     @take_sizes
     def ownership(self, sizes: tuple[int, ...] = MEMBER_SIZES) -> None:
         """Fleet record and ownership against members."""
--- a/tests/test_slopes.py
+++ b/tests/test_slopes.py
@@ -7,6 +7,7 @@
 from currantmast.experiment import (
     claimslopes,
     controlslopes,
+    cutslopes,
     httpslopes,
     metricslopes,
     relayslopes,
@@ -109,6 +110,7 @@
         metricslopes.METRIC_COSTS,
         lambda: metricslopes.measure_metrics(SIZES),
     ),
+    'cuts': (cutslopes.CUT_COSTS, lambda: cutslopes.measure_cuts((40, 60))),
     'messages': (
         relayslopes.MESSAGE_COSTS,
         lambda: relayslopes.measure_messages(SIZES),
