--- a/currantmast/experiment/processes.py
+++ b/currantmast/experiment/processes.py
@@ -20,6 +20,9 @@
 TAIL_LINES = 15
 """Lines of a process's output that are shown when it fails."""
 
+TAIL_WARNINGS = 3
+"""Warnings of each process that are shown when a run fails."""
+
 READY_PREFIX = 'ready '
 ROUTINE = re.compile('^ready |level=(INFO|DEBUG)')
 RUN_BINARY = 'from currantmast.commands import main; main()'
@@ -164,7 +167,7 @@
         """Return the last lines besides those of routine events."""
         lines = self.read_output().splitlines()
         unusual = [line for line in lines if not ROUTINE.search(line)]
-        return '\n'.join(unusual[-TAIL_LINES:])
+        return '\n'.join(unusual[-TAIL_WARNINGS:])
 
     def fail(self, problem: str) -> ProcessFailed:
         """Return a failure that shows the last lines of the output."""
