--- a/currantmast/decisions/accounts.py
+++ b/currantmast/decisions/accounts.py
@@ -8,9 +8,12 @@
 from currantmast.decisions.sightings import MemberKey
 from currantmast.messages import ShareGrant, ShareHeld
 
-# Reported demand may fall by this factor with each report; it rises at once. Without
-# it, shares follow the noise of few requests.
+# Counted demand rises at once and falls by this factor with each report. Below
+# `SPARSE_DEMAND` units per second the average itself swings with each request, and
+# falls by half between two, so that there it must fall more slowly.
 DEMAND_FALL_FACTOR = 0.8
+SPARSE_FALL_FACTOR = 0.97
+SPARSE_DEMAND = 5
 
 
 class Account(msgspec.Struct):
@@ -106,7 +109,7 @@
         both cases.
         """
         account = self.get(key)
-        account.demand = max(demand, account.demand * DEMAND_FALL_FACTOR)
+        account.demand = max(demand, self._fade(account.demand))
         pending = account.pending
         if held is None:
             if pending is None and account.confirmed != NO_SHARE:
@@ -114,6 +117,8 @@
         elif pending is not None and _confirms(held, pending):
             account.confirmed = Share(held.rate, held.burst)
             account.pending = None
+            self.size_pool()
+            self._pool.add(held.returned)
 
     def grant(self, key: MemberKey, share: Share) -> None:
         """Make `share` the pending share of `key`.
@@ -142,6 +147,11 @@
         terms = self._terms
         self._pool.resize(terms.rate - total.rate, terms.burst - total.burst)
 
+    def _fade(self, demand: float) -> float:
+        if demand < SPARSE_DEMAND * self._terms.unit:
+            return demand * SPARSE_FALL_FACTOR
+        return demand * DEMAND_FALL_FACTOR
+
 
 def _confirms(held: ShareHeld, pending: ShareGrant) -> bool:
     reported = (held.ledger_epoch, held.sequence)
--- a/currantmast/decisions/allotment.py
+++ b/currantmast/decisions/allotment.py
@@ -13,12 +13,15 @@
 RESERVE_FRACTION = 0.1
 # Demand below this part of an equal share counts as none.
 IDLE_FRACTION = 0.01
-# A holder of units keeps them against others whose demand is barely higher.
-INCUMBENT_WEIGHT = 1.25
+# A holder of units keeps them against others of less than twice its demand.
+INCUMBENT_WEIGHT = 2
 # Units in a burst from which on one is kept in reserve.
 RESERVE_MIN_UNITS = 4
-# A holder without a unit doubles its weight each time that it has waited so long.
-WAIT_WEIGHT_S = 4
+# A holder without a unit that has waited this long weighs twice as much as before
+# when it has waited twice as long. Moving a unit takes up to four heartbeats and its
+# refill, so that units should stay for several of both.
+WAIT_WEIGHT_S = 10
+WAIT_WEIGHT_REFILLS = 10
 
 
 class Share(msgspec.Struct, frozen=True):
@@ -70,6 +73,11 @@
         """Whole units in the burst."""
         return int(self.burst / self.unit)
 
+    @property
+    def refill_s(self) -> float:
+        """Time in seconds that the whole rate needs for one unit."""
+        return self.unit / self.rate if self.rate > 0 else 0
+
 
 class Want(msgspec.Struct, frozen=True):
     """What is known of a holder's need.
@@ -132,22 +140,29 @@
 
 def _choose_units(terms: Terms, wants: Wants) -> dict[MemberKey, int]:
     base = 1 if terms.units >= 2 * len(wants) else 0
-    reserve = 0
-    if terms.units >= RESERVE_MIN_UNITS:
-        reserve = math.ceil(terms.units * RESERVE_FRACTION)
     idle_limit = IDLE_FRACTION * terms.rate / len(wants)
+    wait_s = max(WAIT_WEIGHT_S, WAIT_WEIGHT_REFILLS * terms.refill_s)
     weights = {
-        key: _weigh(want) if want.demand > idle_limit else 0
+        key: _weigh(want, wait_s) if want.demand > idle_limit else 0
         for key, want in wants.items()
     }
-    spare = max(0, terms.units - reserve - base * len(wants))
+    users = sum(weight > 0 for weight in weights.values())
+    spare = terms.units - base * len(wants)
+    spare -= _choose_reserve(terms.units, spare - users)
     return {key: base + more for key, more in divide_units(spare, weights).items()}
 
 
-def _weigh(want: Want) -> float:
+def _choose_reserve(units: int, unused: int) -> int:
+    """Return the units kept in the pool: none while users are short of them."""
+    if units < RESERVE_MIN_UNITS:
+        return 0
+    return max(0, min(unused, math.ceil(units * RESERVE_FRACTION)))
+
+
+def _weigh(want: Want, wait_s: float) -> float:
     if want.units:
         return want.demand * INCUMBENT_WEIGHT
-    return want.demand * (1 + want.waited_s / WAIT_WEIGHT_S)
+    return want.demand * max(1, want.waited_s / wait_s)
 
 
 def _choose_rates(
--- a/currantmast/decisions/buckets.py
+++ b/currantmast/decisions/buckets.py
@@ -47,16 +47,17 @@
             f'<TokenBucket {self._tokens:.2f} of {self._burst:g} at {self._rate:g}/s>'
         )
 
-    def resize(self, rate: float, burst: float) -> None:
-        """Change rate and burst from now on.
+    def resize(self, rate: float, burst: float) -> float:
+        """Change rate and burst from now on and return the tokens cut off.
 
         A lower burst truncates the tokens; a higher one adds none.
         """
-        self._refill()
+        before = self.count()
         self._rate = max(0, rate)
         self._burst = max(0, burst)
-        self._tokens = min(self._tokens, self._burst)
+        self._tokens = min(before, self._burst)
         self._note_headroom()
+        return before - self._tokens
 
     def count(self) -> float:
         """Return the tokens available now."""
@@ -70,6 +71,15 @@
         self._tokens -= amount
         return True
 
+    def get_wait(self, amount: float) -> float:
+        """Return the time in seconds until `amount` tokens have gathered."""
+        missing = amount - self.count()
+        if missing <= 0:
+            return 0
+        if amount > self._burst or self._rate <= 0:
+            return math.inf
+        return missing / self._rate
+
     def add(self, amount: float) -> None:
         """Add tokens handed over by another bucket, up to the burst."""
         self._tokens = min(self._burst, self.count() + amount)
--- a/currantmast/decisions/budgets.py
+++ b/currantmast/decisions/budgets.py
@@ -1,5 +1,7 @@
 """Shares of budgets that one instance holds and uses."""
 
+import math
+
 from currantmast.clocks import Clock
 from currantmast.decisions.buckets import DemandMeter, TokenBucket
 from currantmast.decisions.leases import lists_incarnation
@@ -88,6 +90,15 @@
         bucket = self._buckets.get(budget)
         return bucket is not None and bucket.take(amount)
 
+    def get_wait(self, budget: str, amount: float = 1) -> float:
+        """Return the time in seconds until the present share allows `amount`.
+
+        Infinite without a sufficient share. A caller that waits and takes again
+        counts its demand twice, which only speeds up the next grant.
+        """
+        bucket = self._buckets.get(budget)
+        return math.inf if bucket is None else bucket.get_wait(amount)
+
     def give_back(self, budget: str, amount: float) -> None:
         """Return units taken in the last seconds and certainly not used."""
         bucket = self._buckets.get(budget)
@@ -110,10 +121,10 @@
         bucket = self._buckets.get(grant.budget)
         if bucket is None:
             bucket = self._buckets.setdefault(grant.budget, TokenBucket(self._clock))
-        bucket.resize(grant.rate, grant.burst)
+        returned = bucket.resize(grant.rate, grant.burst)
         bucket.add(grant.tokens)
         self._held[grant.budget] = ShareHeld(
-            grant.budget, *order, grant.rate, grant.burst
+            grant.budget, *order, grant.rate, grant.burst, returned
         )
         return True
 
--- a/currantmast/decisions/ledgers.py
+++ b/currantmast/decisions/ledgers.py
@@ -7,14 +7,14 @@
 the pool to what the counted shares leave over, so that at all times
 sum r_i <= rate and sum b_i <= burst, the pool included.
 
-Tokens appear in two ways only. A bucket refills at its rate up to its burst: all
-together gain at most rate x t in a time t. A grant moves tokens from the pool to a
-holder; it carries no more than its added burst, and it is applied once, by its
-order. Everything else removes tokens: a reduced share truncates them before the
-reduction is confirmed and its burst is granted elsewhere, the pool and a new holder
-gain none from a larger burst, a lost grant loses its tokens. Hence the tokens at the
-start of an interval, those in grants under way included, are at most
-sum b_i <= burst, and the admissions in an interval of length t are at most
+Tokens appear in one way only: a bucket refills at its rate up to its burst, so that
+all together gain at most rate x t in a time t. Messages move tokens. A grant carries
+tokens from the pool to a holder, no more than its added burst, and is applied once,
+by its order. A reduced share truncates the tokens before the reduction is confirmed
+and its burst is granted elsewhere; the report that confirms it, and counts once,
+returns them to the pool. Everything else removes tokens: the pool and a new holder
+gain none from a larger burst, a lost message loses what it carries. Hence the tokens
+at the start of an interval, those under way included, are at most sum b_i <= burst, and the admissions in an interval of length t are at most
 burst + rate x t. A holder that refills from zero while others are full does not
 break this, because the sum of all bursts, not the tokens of one, bounds the start.
 
--- a/currantmast/messages.py
+++ b/currantmast/messages.py
@@ -116,13 +116,28 @@
 
 
 class ShareHeld(msgspec.Struct, frozen=True, array_like=True):
-    """The share of a budget that an instance holds, as it reports it."""
+    """The share of a budget that an instance holds, as it reports it.
+
+    Parameters
+    ----------
+    budget : str
+        Name of the budget.
+    ledger_epoch, sequence : int
+        Order of the grant that the share comes from.
+    rate : float
+        Units per second.
+    burst : float
+        Units that may be used at once.
+    returned : float
+        Units that the holder gave up when it applied the grant.
+    """
 
     budget: str
     ledger_epoch: int
     sequence: int
     rate: float
     burst: float
+    returned: float = 0
 
 
 class ShareGrant(msgspec.Struct, frozen=True, array_like=True):
