--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,126 @@
+"""When a new owner may act: no earlier owner can any more."""
+
+import msgspec
+from fleet import make_member
+from test_membership import WAIT_S, hear, make_observer, make_record
+
+from currantmast.decisions.handover import RECORD_LIMIT, Handover, must_reopen
+from currantmast.decisions.membership import add_member, mark_leaving, remove_member
+from currantmast.decisions.ownership import choose_owner
+
+KEYS = tuple(f'key:{number}' for number in range(40))
+
+
+def make_handover(record, self_id='a'):
+    clock, observer = make_observer(record, self_id)
+    handover = Handover(observer)
+    handover.adopt_record(record)
+    hear(observer, [member.id for member in record.members], record.epoch)
+    return clock, observer, handover
+
+
+def adopt(observer, handover, record):
+    observer.adopt_record(record)
+    handover.adopt_record(record)
+
+
+def list_of(record, member_id):
+    return [key for key in KEYS if choose_owner(record, key).id == member_id]
+
+
+def is_settled(handover, keys):
+    return {handover.is_settled(key) for key in keys}
+
+
+def test_key_is_settled_when_its_predecessor_has_confirmed():
+    record = make_record('abc')
+    _, observer, handover = make_handover(record)
+    assert is_settled(handover, KEYS) == {True}
+    adopt(observer, handover, mark_leaving(record, 'c'))
+    moved = list_of(record, 'c')
+    assert handover.get_predecessor(moved[0]).id == 'c'
+    assert is_settled(handover, moved) == {False}
+    # The own keys have only the own confirmation to wait for.
+    assert is_settled(handover, list_of(record, 'a')) == {True}
+    hear(observer, 'c', record.epoch + 1)
+    assert is_settled(handover, moved) == {True}
+
+
+def test_key_is_settled_when_its_predecessor_has_expired():
+    record = make_record('abc')
+    clock, observer, handover = make_handover(record)
+    adopt(observer, handover, remove_member(record, 'c'))
+    hear(observer, 'b', record.epoch + 1)
+    moved = list_of(record, 'c')
+    clock.advance(WAIT_S - 0.01)
+    assert is_settled(handover, moved) == {False}
+    clock.advance(0.02)
+    assert is_settled(handover, moved) == {True}
+
+
+def test_owner_of_an_epoch_in_between_matters():
+    record = make_record('ab')
+    _, observer, handover = make_handover(record)
+    joined = add_member(record, make_member('c'))
+    left = mark_leaving(joined, 'c')
+    adopt(observer, handover, joined)
+    adopt(observer, handover, left)
+    hear(observer, 'b', left.epoch)
+    brief = list_of(joined, 'c')
+    # c may have adopted the record of its join and act on its keys.
+    assert is_settled(handover, brief) == {False}
+    hear(observer, 'c', left.epoch)
+    assert is_settled(handover, brief) == {True}
+
+
+def test_first_record_waits_for_all_members_and_departed_ones():
+    record = add_member(remove_member(make_record('abc'), 'c'), make_member('f'))
+    clock, observer = make_observer(record, 'f')
+    handover = Handover(observer)
+    assert not handover.is_settled(KEYS[0])
+    handover.adopt_record(record)
+    hear(observer, 'a', record.epoch)
+    clock.advance(WAIT_S)
+    assert is_settled(handover, KEYS) == {False}
+    hear(observer, 'b', record.epoch)
+    assert is_settled(handover, KEYS) == {False}
+    clock.advance(WAIT_S + 0.01)
+    assert is_settled(handover, KEYS) == {True}
+
+
+def test_gap_in_the_epochs_waits_for_all():
+    record = make_record('abc')
+    _, observer, handover = make_handover(record)
+    later = msgspec.structs.replace(record, epoch=record.epoch + 2)
+    adopt(observer, handover, later)
+    # Who owned which key in the epoch missed is unknown.
+    assert is_settled(handover, list_of(record, 'a')) == {False}
+    hear(observer, 'bc', later.epoch)
+    assert is_settled(handover, KEYS) == {True}
+
+
+def test_dropped_records_are_still_waited_for():
+    record = make_record('abc')
+    _, observer, handover = make_handover(record)
+    adopt(observer, handover, mark_leaving(record, 'c'))
+    hear(observer, 'ab', record.epoch + 1)
+    for epoch in range(record.epoch + 2, record.epoch + RECORD_LIMIT + 4):
+        changed = msgspec.structs.replace(mark_leaving(record, 'c'), epoch=epoch)
+        adopt(observer, handover, changed)
+        hear(observer, 'ab', epoch)
+    assert is_settled(handover, list_of(record, 'c')) == {False}
+    hear(observer, 'c', epoch)
+    assert is_settled(handover, KEYS) == {True}
+
+
+def test_owner_reopens_its_ledger_unless_it_owned_the_key_directly_before():
+    record = make_record('abc')
+    key = list_of(record, 'a')[0]
+    following = add_member(record, make_member('a', 'y'))
+    assert must_reopen(None, record, key, 'a')
+    assert not must_reopen(record, mark_leaving(record, 'b'), key, 'a')
+    assert must_reopen(record, following, key, 'a')
+    skipped = msgspec.structs.replace(record, epoch=record.epoch + 2)
+    assert must_reopen(record, skipped, key, 'a')
+    taken = list_of(record, 'b')[0]
+    assert must_reopen(record, mark_leaving(record, 'b'), taken, 'a')
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,239 @@
+"""Changes of the fleet record, certain expiry, and removals."""
+
+import msgspec
+import pytest
+from fleet import make_member
+
+from currantmast.clocks import ManualClock
+from currantmast.decisions.membership import (
+    IncarnationReused,
+    MemberUnknown,
+    Observer,
+    add_member,
+    choose_witnesses,
+    mark_leaving,
+    remove_member,
+    supports_lease,
+)
+from currantmast.deployment import Timing
+from currantmast.messages import FleetRecord, Heartbeat, WitnessSet
+
+# lease_s x 1.05 + 0.25 s
+WAIT_S = 3.4
+
+
+def make_record(names='abcde'):
+    record = FleetRecord(0)
+    for name in names:
+        record = add_member(record, make_member(name))
+    return record
+
+
+def make_observer(record, self_id='a'):
+    clock = ManualClock()
+    observer = Observer(clock, Timing(), self_id, 'x')
+    observer.adopt_record(record)
+    return clock, observer
+
+
+def hear(observer, names, epoch, incarnation='x'):
+    for name in names:
+        observer.observe_heartbeat(Heartbeat(name, incarnation, epoch, 1, 0))
+
+
+def test_each_change_adds_one_epoch_and_keeps_order():
+    record = make_record('ba')
+    assert record.epoch == 2
+    assert [member.id for member in record.members] == ['a', 'b']
+    leaving = mark_leaving(record, 'a')
+    assert leaving.epoch == 3
+    assert [member.leaving for member in leaving.members] == [True, False]
+    with pytest.raises(MemberUnknown, match='epoch 3 does not list z'):
+        remove_member(leaving, 'a', 'z')
+
+
+def test_removal_and_replacement_leave_departures():
+    record = remove_member(make_record(), 'b', 'c')
+    assert record.epoch == 6
+    record = add_member(record, make_member('d', 'y'))
+    departed = [(one.member.id, one.epoch) for one in record.departures]
+    assert departed == [('b', 6), ('c', 6), ('d', 7)]
+    # Guards against a removed run whose expiry would be mixed up with its rejoin.
+    with pytest.raises(IncarnationReused):
+        add_member(record, make_member('b'))
+
+
+def test_past_witnesses_end_with_the_previous_epoch():
+    record = mark_leaving(make_record('ab'), 'a')
+    assert record.past_witnesses == (
+        WitnessSet(1, ('a',)),
+        WitnessSet(2, ('a', 'b')),
+    )
+    assert mark_leaving(record, 'b').past_witnesses[1].last_epoch == 3
+
+
+def test_witnesses_spread_over_regions_and_failure_domains():
+    members = [
+        make_member(f'{region}{domain}{number}', 'x', region, f'{region}{domain}')
+        for region in 'pqr'
+        for domain in '12'
+        for number in range(4)
+    ]
+    witnesses = choose_witnesses(members)
+    assert len(witnesses) == 9
+    assert {name[0] for name in witnesses} == set('pqr')
+    assert all(sum(name[0] == one for name in witnesses) == 3 for one in 'pqr')
+    assert {name[:2] for name in witnesses} == {'p1', 'p2', 'q1', 'q2', 'r1', 'r2'}
+    gone = msgspec.structs.replace(members[0], leaving=True)
+    assert gone.id not in choose_witnesses([gone, *members[1:]])
+
+
+@pytest.mark.parametrize(
+    ('self_id', 'incarnation', 'sender', 'epoch', 'expected'),
+    [
+        ('a', 'x', 'b', 5, True),
+        ('a', 'x', 'b', 4, False),
+        ('a', 'y', 'b', 5, False),
+        ('a', 'x', 'z', 5, False),
+        ('z', 'x', 'b', 5, False),
+    ],
+)
+def test_witness_renews_under_its_own_epoch_only(
+    self_id, incarnation, sender, epoch, expected
+):
+    heartbeat = Heartbeat(sender, 'x', epoch, 1, 0)
+    record = make_record()
+    assert supports_lease(record, self_id, incarnation, heartbeat) is expected
+    assert not supports_lease(None, self_id, incarnation, heartbeat)
+
+
+def test_expiry_needs_a_blocking_set_and_the_lease_time():
+    clock, observer = make_observer(make_record())
+    hear(observer, 'bcde', 5)
+    removed = remove_member(make_record(), 'e')
+    observer.adopt_record(removed)
+    hear(observer, 'b', 6)
+    hear(observer, 'cd', 5)
+    clock.advance(60)
+    # Two of five have confirmed: the other three may still renew the lease of e.
+    assert not observer.has_expired('e', 'x')
+    hear(observer, 'c', 6)
+    clock.advance(WAIT_S - 0.01)
+    assert not observer.has_expired('e', 'x')
+    assert len(observer.list_unexpired()) == 5
+    clock.advance(0.02)
+    assert observer.has_expired('e', 'x')
+    assert observer.list_unexpired() == removed.members
+
+
+def test_survivor_of_two_blocks_alone():
+    clock, observer = make_observer(remove_member(make_record('ab'), 'b'))
+    clock.advance(WAIT_S + 0.01)
+    assert observer.has_expired('b', 'x')
+
+
+def test_earlier_epochs_matter_unless_the_member_reported_a_later_one():
+    # e may be in epoch 3, of which c, b and a are the witnesses, or in epoch 7.
+    record = make_record()
+    for name in 'fg':
+        record = add_member(record, make_member(name))
+    names = 'abcdefg'
+    late = msgspec.structs.replace(
+        record, past_witnesses=(WitnessSet(6, ('x', 'y', 'e')),)
+    )
+    for reported, expected in ((5, False), (7, True)):
+        clock, observer = make_observer(late)
+        hear(observer, 'e', reported)
+        observer.adopt_record(remove_member(late, 'e'))
+        hear(observer, names.replace('e', ''), 8)
+        clock.advance(WAIT_S + 0.01)
+        assert observer.has_expired('e', 'x') is expected
+
+
+def test_rejoined_ids_confirm_and_a_rejoined_member_expires():
+    record = remove_member(make_record('abc'), 'b', 'c')
+    clock, observer = make_observer(record)
+    clock.advance(60)
+    assert not observer.has_expired('b', 'x')
+    observer.adopt_record(add_member(record, make_member('c', 'y')))
+    hear(observer, 'c', 5, incarnation='y')
+    clock.advance(WAIT_S + 0.01)
+    assert observer.has_expired('b', 'x')
+    assert observer.has_expired('c', 'x')
+    assert not observer.has_expired('c', 'y')
+
+
+def test_new_instance_does_not_expire_a_cut_off_majority_of_earlier_witnesses():
+    # b and c are cut off together and renew each other's lease in epoch 3. a stays;
+    # d and e join, so that b and c are a minority of the witnesses and are removed.
+    record = make_record('abc')
+    for name in 'de':
+        record = add_member(record, make_member(name))
+    record = remove_member(record, 'b', 'c')
+    clock, observer = make_observer(add_member(record, make_member('f')), 'f')
+    hear(observer, 'ade', 7)
+    clock.advance(60)
+    # All witnesses of the own epoch have confirmed it; that proves nothing of b.
+    assert not observer.has_expired('b', 'x')
+    hear(observer, 'c', 7, incarnation='y')
+    clock.advance(WAIT_S + 0.01)
+    assert observer.has_expired('b', 'x')
+
+
+def test_member_that_the_record_has_dropped_counts_as_expired():
+    record = remove_member(make_record(), 'e')
+    _, observer = make_observer(make_record())
+    observer.adopt_record(msgspec.structs.replace(record, departures=()))
+    assert observer.has_expired('e', 'x')
+    assert not observer.has_expired('unknown', 'x')
+
+
+def test_prune_keeps_what_may_still_be_needed():
+    record = remove_member(make_record(), 'e')
+    clock, observer = make_observer(record)
+    hear(observer, 'bc', 6)
+    hear(observer, 'd', 5)
+    clock.advance(WAIT_S + 0.01)
+    pruned = observer.prune(mark_leaving(record, 'b'))
+    # d may still be in epoch 5 and use its witnesses.
+    assert [past.last_epoch for past in pruned.past_witnesses] == [5, 6]
+    assert not pruned.departures
+    hear(observer, 'd', 6)
+    pruned = observer.prune(mark_leaving(record, 'b'))
+    assert [past.last_epoch for past in pruned.past_witnesses] == [6]
+
+
+def test_lowest_live_member_removes_first_and_others_later():
+    chosen = {}
+    for self_id in 'bcd':
+        clock, observer = make_observer(make_record(), self_id)
+        clock.advance(2)
+        hear(observer, 'bcde', 5)
+        clock.advance(1.5)
+        chosen[self_id] = [observer.choose_removals(self_id)]
+        clock.advance(1)
+        hear(observer, 'bcde', 5)
+        chosen[self_id].append(observer.choose_removals(self_id))
+    assert chosen == {'b': [('a',)] * 2, 'c': [(), ('a',)], 'd': [(), ()]}
+
+
+def test_member_that_hears_too_few_witnesses_removes_nobody():
+    # Guards against a cut-off member that removes the fleet through the store.
+    clock, observer = make_observer(make_record())
+    clock.advance(4)
+    hear(observer, 'b', 5)
+    assert observer.choose_removals('a') == ()
+    hear(observer, 'c', 5)
+    assert observer.choose_removals('a') == ('d', 'e')
+
+
+def test_history_is_bounded():
+    record = make_record('ab')
+    _, observer = make_observer(record)
+    for number in range(3000):
+        record = add_member(record, make_member('b', f'run{number}'))
+        record = msgspec.structs.replace(record, departures=record.departures[-2:])
+        observer.adopt_record(record)
+        hear(observer, 'b', record.epoch, incarnation=f'run{number}')
+    assert len(msgspec.msgpack.encode(record)) < 2000
+    assert len(observer.list_unexpired()) == 4
