Close four gaps in the claim log that a random race found

Cause: a simulation of three owners with lost, late and refused writes, restarts, pauses and clocks 50 s apart found second executions: (1) a claim accepted before a pause and committed after its key had expired and its first batch was deleted; (2) a batch that lands after the lifetime and is deleted at once, while another owner still relies on an older read; (3) a batch that takes the number of a deleted one and is replayed before its successors; (4) a listed last batch deleted before it is read. Ruled out: trusting write times in the batch, because a paused writer sends late.

--- a/currantmast/decisions/claimkeys.py
+++ b/currantmast/decisions/claimkeys.py
@@ -68,17 +68,22 @@
         detail = 'Request-Key: allowed is <unix seconds>.<1 to 64 of A-Z a-z 0-9 _ ->'
         return NotRun(Reason.bad_request, detail)
     key = ClaimKey(team, service, request_key, int(match.group(1)))
-    return check_age(key, clock, lifetime_s) or key
+    return check_age(key.issued_at, clock, lifetime_s) or key
 
 
-def check_age(key: ClaimKey, clock: Clock, lifetime_s: float) -> NotRun | None:
-    """Return the reason to refuse `key` because of its time, or None.
+def get_usable_s(lifetime_s: float) -> float:
+    """Return the time in seconds for which a request key can be used.
 
     A key is refused a clock margin before its claims may be deleted, so that no host
     accepts a key whose claim another host has deleted.
     """
-    age_s = clock.wall() - key.issued_at
-    if age_s > lifetime_s - CLOCK_MARGIN_S:
+    return lifetime_s - CLOCK_MARGIN_S
+
+
+def check_age(issued_at: int, clock: Clock, lifetime_s: float) -> NotRun | None:
+    """Return the reason to refuse a key issued at unix second `issued_at`, or None."""
+    age_s = clock.wall() - issued_at
+    if age_s > get_usable_s(lifetime_s):
         detail = f'Request-Key: {age_s:.0f} s old'
         return NotRun(Reason.request_key_expired, detail)
     if age_s < -CLOCK_MARGIN_S:
--- a/currantmast/decisions/claimrecords.py
+++ b/currantmast/decisions/claimrecords.py
@@ -106,8 +106,8 @@
         Instance and incarnation of the writer.
     number : int
         Number of the batch at its writer; makes every batch's bytes unique.
-    written_at : float
-        Wall-clock time of the writer in unix seconds.
+    previous : str
+        Identity of the batch before this one; empty for the first.
     operations : tuple
         Entries in order.
     """
@@ -116,9 +116,14 @@
     sequence: int
     writer: str
     number: int
-    written_at: float
+    previous: str
     operations: tuple[Operation, ...]
 
+    @property
+    def identity(self) -> str:
+        """Text that no other batch shares."""
+        return f'{self.writer}/{self.number}'
+
     @property
     def name(self) -> str:
         """Name of the object."""
@@ -143,21 +148,6 @@
     return f'{name_partition(partition)}{sequence:012}'
 
 
-def read_sequence(name: str) -> int:
-    """Return the sequence number in the name of a batch.
-
-    Raises
-    ------
-    BatchRejected
-        If `name` is not the name of a batch.
-    """
-    _, _, digits = name.rpartition('/')
-    try:
-        return int(digits)
-    except ValueError as failure:
-        raise BatchRejected(f'{name}: allowed is a sequence number') from failure
-
-
 def encode_batch(batch: ClaimBatch) -> bytes:
     """Return `batch` as MessagePack."""
     return _encoder.encode(batch)
--- a/currantmast/decisions/claims.py
+++ b/currantmast/decisions/claims.py
@@ -5,7 +5,8 @@
 import msgspec
 
 from currantmast.clocks import Clock
-from currantmast.decisions.claimkeys import ClaimKey, check_age
+from currantmast.decisions.claimchains import STALE_AFTER_S, BatchChain
+from currantmast.decisions.claimkeys import ClaimKey, check_age, get_usable_s
 from currantmast.decisions.claimrecords import (
     Answered,
     ClaimBatch,
@@ -19,11 +20,6 @@
 from currantmast.decisions.claimtables import ClaimTable, Decision, OperationQueue
 from currantmast.outcomes import NotRun
 
-# Longest time in seconds from a read of the log to a commit that relies on it. It is
-# far below the claim lifetime: while it lasts no batch written after the read can
-# have been deleted, so an absent sequence number proves that nothing was appended.
-STALE_AFTER_S = 60.0
-
 
 class Pending(msgspec.Struct, frozen=True):
     """The claim waits for its batch; `ClaimLog.commit` decides it."""
@@ -61,31 +57,34 @@
         Lifetime of claims in seconds.
     writer : str
         Instance and incarnation of this owner; makes its batches unique.
+
+    Attributes
+    ----------
+    chain : BatchChain
+        Sequence numbers of the batches.
     """
 
     __slots__ = (
         '_clock',
         '_current',
-        '_expiries',
         '_identity',
         '_lifetime_s',
         '_made',
         '_queue',
         '_read_at',
         '_table',
-        'next_sequence',
+        'chain',
     )
 
     def __init__(
         self, partition: int, clock: Clock, lifetime_s: float, writer: str = ''
     ) -> None:
-        self.next_sequence = 0
         self._identity = LogIdentity(partition, writer)
         self._clock = clock
         self._lifetime_s = lifetime_s
+        self.chain = BatchChain(clock, lifetime_s)
         self._table = ClaimTable()
         self._queue = OperationQueue()
-        self._expiries: dict[int, float] = {}
         self._made = 0
         self._current = False
         self._read_at = clock.now()
@@ -93,7 +92,7 @@
     def __repr__(self) -> str:
         """Return the partition and the state."""
         return (
-            f'<ClaimLog {self._identity.partition} next={self.next_sequence} '
+            f'<ClaimLog {self._identity.partition} {self.chain!r} '
             f'current={self.is_current()} waiting={len(self._queue)}>'
         )
 
@@ -106,25 +105,19 @@
         """Return whether operations wait to be written."""
         return len(self._queue) > 0
 
-    def load(
-        self, batches: Iterable[ClaimBatch], last_sequence: int, read_at: float
-    ) -> None:
-        """Take in the batches from `next_sequence` on; claims can then be decided.
+    def load(self, batches: Iterable[ClaimBatch], read_at: float) -> None:
+        """Take in what the store holds; claims can then be decided.
 
         Parameters
         ----------
         batches : iterable of ClaimBatch
-            Batches in the store, in any order.
-        last_sequence : int
-            Highest sequence number that was listed, -1 if none. Its batch may be
-            missing from `batches` if it was deleted after the listing.
+            Batches from ``chain.next_sequence`` on, in any order. The one with the highest
+            sequence number that was listed must be among them.
         read_at : float
             Monotonic time in seconds when the listing began.
         """
-        for batch in sorted(batches, key=_get_sequence):
-            if batch.sequence >= self.next_sequence:
-                self._take_in(batch)
-        self.next_sequence = max(self.next_sequence, last_sequence + 1)
+        for batch in self.chain.select(batches):
+            self._take_in(batch)
         self._read_at = read_at
         self._current = True
 
@@ -140,7 +133,7 @@
         attempt : str
             Token of the attempt, never used twice.
         """
-        refusal = check_age(claim_key, self._clock, self._lifetime_s)
+        refusal = check_age(claim_key.issued_at, self._clock, self._lifetime_s)
         if refusal is not None:
             return refusal
         digest = claim_key.digest
@@ -181,10 +174,10 @@
         self._made += 1
         return ClaimBatch(
             partition=self._identity.partition,
-            sequence=self.next_sequence,
+            sequence=self.chain.next_sequence,
             writer=self._identity.writer,
             number=self._made,
-            written_at=self._clock.wall(),
+            previous=self.chain.last_identity,
             operations=operations,
         )
 
@@ -193,13 +186,18 @@
 
         Nothing is decided if the batch took too long: the log must be read first.
         """
-        if not self.is_current() or batch.sequence != self.next_sequence:
+        if not self.is_current() or batch.sequence != self.chain.next_sequence:
             self.reject(batch)
             return ()
         self._take_in(batch)
         self._queue.finish()
         claims = [one for one in batch.operations if isinstance(one, Claimed)]
-        return tuple(Decided(one, self._table.conclude(one)) for one in claims)
+        # The owner may have paused since it accepted a claim; the batch with an
+        # earlier claim of a key that has expired may have been deleted unread.
+        expired_before = self._clock.wall() - get_usable_s(self._lifetime_s)
+        return tuple(
+            Decided(one, self._table.conclude(one, expired_before)) for one in claims
+        )
 
     def reject(self, batch: ClaimBatch) -> None:
         """Keep the operations of `batch`, which is not known to be in the store.
@@ -210,30 +208,10 @@
         self._current = False
 
     def list_obsolete(self) -> tuple[int, ...]:
-        """Return the sequence numbers of batches that may be deleted, in order.
-
-        The last batch is never among them: it keeps the numbers from starting anew.
-        """
-        wall = self._clock.wall()
-        self._table.drop_before(wall - self._lifetime_s)
-        return tuple(
-            sequence
-            for sequence, expiry in self._expiries.items()
-            if expiry < wall and sequence < self.next_sequence - 1
-        )
-
-    def forget(self, sequence: int) -> None:
-        """Forget a batch that was deleted from the store."""
-        self._expiries.pop(sequence, None)
+        """Return the sequence numbers that may be deleted, to delete in this order."""
+        self._table.drop_before(self._clock.wall() - self._lifetime_s)
+        return self.chain.list_obsolete()
 
     def _take_in(self, batch: ClaimBatch) -> None:
         self._table.apply(batch.operations)
-        newest = max(one.issued_at for one in batch.operations)
-        self._expiries[batch.sequence] = (
-            max(newest, batch.written_at) + self._lifetime_s
-        )
-        self.next_sequence = batch.sequence + 1
-
-
-def _get_sequence(batch: ClaimBatch) -> int:
-    return batch.sequence
+        self.chain.append(batch)
--- a/currantmast/decisions/claimtables.py
+++ b/currantmast/decisions/claimtables.py
@@ -72,8 +72,13 @@
             return None
         return Repeated(entry.answer) if entry.answer else InProgress()
 
-    def conclude(self, claimed: Claimed) -> Decision:
-        """Return what a claim has come to once its batch is in the log."""
+    def conclude(self, claimed: Claimed, expired_before: float) -> Decision:
+        """Return what a claim has come to once its batch is in the log.
+
+        Keys issued before unix second `expired_before` are refused.
+        """
+        if claimed.issued_at < expired_before:
+            return Unavailable('the request key has expired')
         entry = self._entries[claimed.digest]
         if entry.holder == claimed.attempt and entry.answer is None:
             return Fresh()
--- a/currantmast/runtime/claims.py
+++ b/currantmast/runtime/claims.py
@@ -17,7 +17,6 @@
     encode_batch,
     name_batch,
     name_partition,
-    read_sequence,
 )
 from currantmast.decisions.claims import ClaimLog, Decision, Pending
 from currantmast.errors import CurrantmastError, StoreBudgetExceeded, StoreConflict
@@ -84,7 +83,7 @@
         return f'<BatchStore {name_partition(self._partition)}>'
 
     def read_into(self, log: ClaimLog) -> None:
-        """Read the batches that `log` has not seen.
+        """Read the batches that `log` has not seen; it is current if that succeeds.
 
         Raises
         ------
@@ -94,15 +93,17 @@
             If an object is no batch.
         """
         read_at = self._clock.now()
-        after = name_batch(self._partition, log.next_sequence - 1)
-        if log.next_sequence == 0:
+        after = name_batch(self._partition, log.chain.next_sequence - 1)
+        if log.chain.next_sequence == 0:
             after = ''
         prefix = name_partition(self._partition)
         names = [entry.name for entry in self._store.list(prefix, after).entries]
         found = Pool(CONCURRENT_READS).map(self._fetch, names)
-        batches = [decode_batch(stored.body) for stored in found if stored]
-        last = read_sequence(names[-1]) if names else -1
-        log.load(batches, last, read_at)
+        if names and found[-1] is None:
+            # Newer batches were appended and the last one deleted meanwhile.
+            return
+        batches = (decode_batch(stored.body) for stored in found if stored)
+        log.load(batches, read_at)
 
     def create(self, batch: ClaimBatch) -> None:
         """Create the object of `batch` if absent.
@@ -130,7 +131,7 @@
         self._cleaned_at = now
         for sequence in log.list_obsolete()[:DELETES_PER_ROUND]:
             self._delete(sequence)
-            log.forget(sequence)
+            log.chain.forget(sequence)
 
     def _delete(self, sequence: int) -> None:
         name = name_batch(self._partition, sequence)
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -4,8 +4,8 @@
 
 import gevent
 import pytest
-from hypothesis import settings, strategies
-from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+from hypothesis import given, settings, strategies
+from msgspec.structs import replace
 
 from currantmast.clocks import LoopClock, ManualClock
 from currantmast.decisions.claimkeys import ClaimKey, parse_claim_key
@@ -14,12 +14,13 @@
     Fresh,
     InProgress,
     RecordedAnswer,
+    Released,
     Repeated,
     Unavailable,
     decode_batch,
     encode_batch,
 )
-from currantmast.decisions.claims import ClaimLog
+from currantmast.decisions.claims import ClaimLog, Pending
 from currantmast.messages import Address
 from currantmast.outcomes import NotRun, Reason
 from currantmast.runtime.claims import ClaimService, ClaimSettings, PartitionTask
@@ -30,21 +31,37 @@
 
 LIFETIME_S = 900
 OWNERS = 3
+INCARNATIONS = itertools.count()
 
 
-owners = strategies.integers(0, OWNERS - 1)
-slots = strategies.integers(0, 1)
+# Actions of the race; the more likely ones are listed more often.
+ACTIONS = (
+    *('claim', 'append', 'claim', 'append', 'start_write', 'lose', 'land_late'),
+    *('claim', 'append', 'claim', 'append', 'release', 'release_undecided'),
+    *('record', 'delete', 'restart', 'pass_time'),
+)
+
+
+class SkewedClock:
+    """A host's view of the time: its wall clock is off."""
+
+    def __init__(self, clock, offset):
+        self.now = clock.now
+        self.wall = lambda: clock.wall() + offset
 
 
 class Owner:
     """One owner of the partition, with a batch that may be on its way."""
 
     def __init__(self, clock, number):
-        self.log = ClaimLog(0, clock, LIFETIME_S, f'owner-{number}')
+        # Wall clocks differ by 50 s, less than the margin of 60 s.
+        skewed = SkewedClock(clock, 25 * (number - 1))
+        writer = f'{number}/{next(INCARNATIONS)}'
+        self.log = ClaimLog(0, skewed, LIFETIME_S, writer)
         self.batch = None
 
 
-class ClaimMachine(RuleBasedStateMachine):
+class Race:
     """Owners that race on one log, with lost, late and refused writes.
 
     `objects` is the store. `late` holds writes that may still take effect although
@@ -52,8 +69,7 @@
     that the claim is fresh and have not released it: the executions.
     """
 
-    @initialize()
-    def start(self):
+    def __init__(self):
         self.clock = ManualClock()
         self.objects, self.late = {}, []
         self.running, self.given_up, self.answers = {}, set(), {}
@@ -72,7 +88,7 @@
 
     def read(self, owner):
         batches = [decode_batch(body) for body in self.objects.values()]
-        owner.log.load(batches, max(self.objects, default=-1), self.clock.now())
+        owner.log.load(batches, self.clock.now())
 
     def create(self, batch: ClaimBatch):
         if batch.sequence in self.objects:
@@ -84,7 +100,6 @@
         self.given_up.add(attempt)
         self.owners[owner].log.release(claim_key, attempt)
 
-    @rule(owner=owners, slot=slots)
     def claim(self, owner, slot):
         owner, key = self.owners[owner], self.get_key(slot)
         if owner.batch is None and not owner.log.is_current():
@@ -95,8 +110,7 @@
         if isinstance(result, Repeated):
             assert result.answer.body == self.answers[key]
 
-    @rule(owner=owners)
-    def start_write(self, owner):
+    def start_write(self, owner, _):
         """The owner may pause now; the batch is finished by `append` or `lose`."""
         owner = self.owners[owner]
         if owner.batch is None:
@@ -104,9 +118,8 @@
                 self.read(owner)
             owner.batch = owner.log.make_batch()
 
-    @rule(owner=owners)
-    def append(self, owner):
-        self.start_write(owner)
+    def append(self, owner, _):
+        self.start_write(owner, 0)
         owner = self.owners[owner]
         batch, owner.batch = owner.batch, None
         if batch is None:
@@ -121,9 +134,8 @@
                 key = self.claimed[claimed.attempt]
                 self.running.setdefault(key, []).append(claimed.attempt)
 
-    @rule(owner=owners, lands=strategies.booleans())
     def lose(self, owner, lands):
-        self.start_write(owner)
+        self.start_write(owner, 0)
         owner = self.owners[owner]
         batch, owner.batch = owner.batch, None
         if batch is None:
@@ -134,25 +146,21 @@
             self.late.append(batch)
         owner.log.reject(batch)
 
-    @rule()
-    def land_late(self):
+    def land_late(self, *_):
         if self.late:
             self.create(self.late.pop(0))
 
-    @rule(owner=owners)
-    def restart(self, owner):
+    def restart(self, owner, _):
         if self.owners[owner].batch is not None:
             self.late.append(self.owners[owner].batch)
         self.owners[owner] = Owner(self.clock, owner)
 
-    @rule(owner=owners, slot=slots)
     def release(self, owner, slot):
         key = self.get_key(slot)
         attempts = self.running.get(key)
         if attempts and key not in self.answers:
             self.give_up(owner, key, attempts.pop())
 
-    @rule(owner=owners, back=strategies.integers(0, 5))
     def release_undecided(self, owner, back):
         """An attempt is given up, maybe again, maybe at another owner."""
         attempt = f'a{self.attempts - back}'
@@ -160,7 +168,6 @@
         if key and attempt not in self.running.get(key, ()):
             self.give_up(owner, key, attempt)
 
-    @rule(owner=owners, slot=slots)
     def record(self, owner, slot):
         key = self.get_key(slot)
         attempts = self.running.get(key)
@@ -169,27 +176,88 @@
             answer = RecordedAnswer.make_done(200, '', body)
             self.owners[owner].log.record(key, attempts[0], answer)
 
-    @rule(seconds=strategies.sampled_from([1, 30, 61, 830, 905]))
-    def pass_time(self, seconds):
-        self.clock.advance(seconds)
+    def pass_time(self, owner, slot):
+        self.clock.advance((1, 61, 800, 905)[owner + slot])
 
-    @rule(owner=owners)
-    def delete(self, owner):
+    def delete(self, owner, _):
         log = self.owners[owner].log
         for sequence in log.list_obsolete():
             self.objects.pop(sequence, None)
-            log.forget(sequence)
+            log.chain.forget(sequence)
 
-    @invariant()
-    def at_most_one_execution(self):
-        for attempts in getattr(self, 'running', {}).values():
+    def check_at_most_one_execution(self):
+        for attempts in self.running.values():
             assert len(attempts) <= 1
 
 
-ClaimMachine.TestCase.settings = settings(
-    max_examples=300, stateful_step_count=80, deadline=None, derandomize=True
+@settings(max_examples=400, deadline=None, derandomize=True)
+@given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from(ACTIONS),
+            strategies.integers(0, OWNERS - 1),
+            strategies.integers(0, 1),
+        ),
+        min_size=60,
+        max_size=120,
+    )
 )
-TestClaimMachine = ClaimMachine.TestCase
+def test_racing_owners_run_a_key_at_most_once(steps):
+    """Guards against a second execution, whatever order of events leads to it."""
+    race = Race()
+    for action, owner, slot in steps:
+        getattr(race, action)(owner, slot)
+        race.check_at_most_one_execution()
+
+
+def make_logs(count):
+    clock = ManualClock()
+    logs = [ClaimLog(0, clock, LIFETIME_S, f'w{number}') for number in range(count)]
+    for log in logs:
+        log.load((), 0)
+    issued = int(clock.wall())
+    return clock, ClaimKey('t', 'orders', f'{issued}.k', issued), *logs
+
+
+def test_rejected_batch_is_undecided_until_read():
+    """Guards against an owner that appends in vain to a log it has not read."""
+    clock, key, one, two = make_logs(2)
+    assert isinstance(one.claim(key, 'a'), Pending)
+    assert isinstance(two.claim(key, 'b'), Pending)
+    first, second = one.make_batch(), two.make_batch()
+    assert [decided.decision for decided in one.commit(first)] == [Fresh()]
+    two.reject(second)
+    assert two.make_batch() is None
+    assert isinstance(two.claim(replace(key, team='u'), 'c'), Unavailable)
+    two.load([first], clock.now())
+    (decided,) = two.commit(two.make_batch())
+    assert decided.decision == InProgress()
+
+
+def test_released_attempt_is_never_fresh():
+    """Guards against a late claim of an attempt whose release came first."""
+    _, key, one, two = make_logs(2)
+    one.claim(key, 'a')
+    late = one.make_batch()
+    one.reject(late)
+    one.release(key, 'a')
+    two.release(key, 'a')
+    two.load([late], 0)
+    (batch,) = [two.make_batch()]
+    assert two.commit(batch) == ()
+    assert isinstance(two.claim(key, 'b'), Pending)
+    one.load([late, batch], 0)
+    assert isinstance(one.make_batch().operations[0], Released)
+
+
+def test_absent_last_batch_is_not_reused():
+    """Guards against sequence numbers that start anew after deletions."""
+    clock, key, log = make_logs(1)
+    for number in range(3):
+        log.claim(replace(key, team=f't{number}'), 'a')
+        log.commit(log.make_batch())
+    clock.advance(LIFETIME_S + 1)
+    assert log.list_obsolete() == (0, 1)
 
 
 @pytest.mark.parametrize(
