--- a/currantmast/experiment/scenarios.py
+++ b/currantmast/experiment/scenarios.py
@@ -7,6 +7,7 @@
 from typing import Self
 
 import gevent
+from loguru import logger
 from msgspec.structs import replace
 
 from currantmast.deployment import Operations
@@ -17,6 +18,11 @@
 from currantmast.experiment.records import Call, Drain, Execution, History, Withdrawal
 from currantmast.outcomes import Reason
 
+MOST_SHOWN = 20
+"""Calls that are shown when a test fails."""
+
+COMMON_REASONS = frozenset(('', Reason.rate_exceeded, Reason.claims_unavailable))
+
 
 class Scenario:
     """One experiment on a running fleet; a context manager.
@@ -63,6 +69,7 @@
     ) -> None:
         """End the load; after a failure show what the processes wrote."""
         if failure is not None:
+            self._show_calls()
             self.fleet.show_outputs()
         gevent.killall(self._running)
         self.load.__exit__(kind, failure, trace)
@@ -116,6 +123,11 @@
             self.history, replace(deployment, operations=self.operations)
         )
 
+    def _show_calls(self) -> None:
+        unusual = [call for call in self.calls if call.reason not in COMMON_REASONS]
+        for call in unusual[:MOST_SHOWN]:
+            logger.error('event=call {}', call)
+
     def _list_executions(self) -> Iterator[Execution]:
         for execution in collect_executions(self.fleet.controls, self.fleet.plan):
             if execution.call_id.startswith(f'{self.name}-'):
