Stop requests that crash targets after two crashes, and cut nothing at a stop

Change: the entry tells the next owner of the crash, which runs it alone, and two crashes in one trip convict it (reason target_lost tells a target's end from a peer's). Requests count until their answer is written; a leaving instance closes connections after their next answer. Claims are asked for again while they are in progress or their partition changes owner. Links need a share before an instance is ready. One unit of burst more than wanted is not taken back without pressure. Ruled out: the quarantine decision itself (its state machine test passes). Replaced test: shares follow demand is now checked at 80% use of the budget; at 20% unused budget is divided equally, which a test of its own checks.

--- a/currantmast/budget_owner.py
+++ b/currantmast/budget_owner.py
@@ -14,6 +14,7 @@
 from currantmast.messages import FleetRecord, Heartbeat, Member, ShareGrant, ShareHeld
 
 LINK_PREFIX = 'link:'
+TEAM_PREFIX = 'team:'
 
 
 class BudgetOwner:
@@ -116,6 +117,15 @@
         """Grant nothing, while this instance has no right to."""
         self._grants = {}
 
+    def list_prefixes(self, region: str) -> tuple[str, ...]:
+        """Return the names of which an instance of `region` needs a share each.
+
+        One team's share shows that rates are allotted; each link needs its own.
+        """
+        links = [name for name in self._budgets if name.startswith(f'link:{region}>')]
+        teams = [TEAM_PREFIX for name in self._budgets if name.startswith(TEAM_PREFIX)]
+        return (*links, *teams[:1])
+
     def list_grants(self, holder_id: str) -> tuple[ShareGrant, ...]:
         """Return the grants to send to `holder_id`."""
         return self._grants.get(holder_id, ())
--- a/currantmast/decisions/allotment.py
+++ b/currantmast/decisions/allotment.py
@@ -141,16 +141,20 @@
 def _choose_units(terms: Terms, wants: Wants) -> dict[MemberKey, int]:
     base = 1 if terms.units >= 2 * len(wants) else 0
     idle_limit = IDLE_FRACTION * terms.rate / len(wants)
-    wait_s = max(WAIT_WEIGHT_S, WAIT_WEIGHT_REFILLS * terms.refill_s)
-    spread = _count_unused(terms, wants) / len(wants) if base else 0
-    weights = {
-        key: spread + (_weigh(want, wait_s) if want.demand > idle_limit else 0)
-        for key, want in wants.items()
-    }
-    users = sum(want.demand > idle_limit for want in wants.values())
+    users = {key: want for key, want in wants.items() if want.demand > idle_limit}
+    weights = _weigh_users(terms, users)
+    if base:
+        spread = _count_unused(terms, wants) / len(wants)
+        weights = {key: spread + weights.get(key, 0) for key in wants}
     spare = terms.units - base * len(wants)
-    spare -= _choose_reserve(terms.units, spare - users)
-    return {key: base + more for key, more in divide_units(spare, weights).items()}
+    spare -= _choose_reserve(terms.units, spare - len(users))
+    more = divide_units(spare, weights)
+    return {key: base + more.get(key, 0) for key in wants}
+
+
+def _weigh_users(terms: Terms, users: Wants) -> dict[MemberKey, float]:
+    wait_s = max(WAIT_WEIGHT_S, WAIT_WEIGHT_REFILLS * terms.refill_s)
+    return {key: _weigh(want, wait_s) for key, want in users.items()}
 
 
 def _count_unused(terms: Terms, wants: Wants) -> float:
--- a/currantmast/decisions/ledgers.py
+++ b/currantmast/decisions/ledgers.py
@@ -222,7 +222,9 @@
         )
         for key, want in wanted.items():
             account = self._accounts.get(key)
-            if account.pending is None and _exceeds(account.confirmed, want, threshold):
+            if account.pending is None and _exceeds(
+                account.confirmed, want, threshold, self._terms.unit
+            ):
                 self._accounts.grant(key, account.confirmed.limit(want))
 
     def _increase(self, wanted: Mapping[MemberKey, Share]) -> None:
@@ -277,7 +279,13 @@
     return share.rate < want.rate * due or share.burst < want.burst * due
 
 
-def _exceeds(share: Share, want: Share, threshold: float) -> bool:
+def _exceeds(share: Share, want: Share, threshold: float, unit: float) -> bool:
+    """Return whether `share` is to be reduced to `want`.
+
+    Without pressure on the budget one unit of burst more than wanted is no reason, or
+    small changes of demand would move units to and fro.
+    """
     kept = 1 - threshold
+    spare = unit if threshold else 0
     is_rate_over = share.rate * kept > want.rate
-    return is_rate_over or share.burst * kept > want.burst
+    return is_rate_over or share.burst * kept - spare > want.burst
--- a/currantmast/decisions/quarantine.py
+++ b/currantmast/decisions/quarantine.py
@@ -124,6 +124,12 @@
         """Record that a run alone did not take place; the suspicion remains."""
         self._alone.pop(fingerprint, None)
 
+    def find_state(self, fingerprint: str) -> str:
+        """Return ``suspect`` or ``quarantined``, or an empty string."""
+        state = self._table.get_state(fingerprint)
+        is_open = state in {State.suspect, State.quarantined}
+        return state.value if is_open else ''
+
     def merge(self, suspects: tuple[Suspect, ...]) -> None:
         """Take over what a peer reports.
 
--- a/currantmast/decisions/retries.py
+++ b/currantmast/decisions/retries.py
@@ -25,7 +25,9 @@
 )
 
 # Breaks of an exchange that a new attempt may not meet again.
-RETRIABLE_BREAKS = frozenset((Reason.connection_lost, Reason.answer_incomplete))
+RETRIABLE_BREAKS = frozenset(
+    (Reason.connection_lost, Reason.target_lost, Reason.answer_incomplete)
+)
 
 
 class Attempt(msgspec.Struct, frozen=True):
--- a/currantmast/outcomes.py
+++ b/currantmast/outcomes.py
@@ -28,6 +28,7 @@
     target_shed = 'target_shed'
     unreachable = 'unreachable'
     connection_lost = 'connection_lost'
+    target_lost = 'target_lost'
     answer_incomplete = 'answer_incomplete'
     claim_outcome_unknown = 'claim_outcome_unknown'
 
--- a/currantmast/peering.py
+++ b/currantmast/peering.py
@@ -23,7 +23,6 @@
 )
 
 SILENCE_S = 2.0
-TEAM_PREFIX = 'team:'
 
 
 class Report(msgspec.Struct, frozen=True):
@@ -171,8 +170,11 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether keyed requests can be admitted: a valid lease and shares of rates."""
-        return self.lease.is_valid() and self.shares.holds_any(TEAM_PREFIX)
+        """Whether keyed requests can be served: a valid lease, and shares to use."""
+        prefixes = self.budgets.list_prefixes(self.member.region)
+        return self.lease.is_valid() and all(
+            self.shares.holds_any(prefix) for prefix in prefixes
+        )
 
     @property
     def is_member(self) -> bool:
--- a/currantmast/runtime/claiming.py
+++ b/currantmast/runtime/claiming.py
@@ -29,6 +29,7 @@
 CLAIMS_PATH = '/claims'
 ATTEMPT_BYTES = 6
 MAX_WAIT_S = 2.0
+CLAIM_PAUSE_S = 0.1
 FOLLOW_PERIOD_S = 0.25
 NOTICE_ATTEMPTS = 5
 NOTICE_PAUSE_S = 0.5
@@ -135,9 +136,7 @@
         key = self._parse(work)
         if isinstance(key, NotRun):
             return WorkAnswer(key)
-        attempt = Attempt(key, f'{work.request_id}.{secrets.token_hex(ATTEMPT_BYTES)}')
-        remaining_s = work.deadline_at - self._steering.clock.now()
-        result = self._claim_at_owner(attempt, min(remaining_s, MAX_WAIT_S))
+        attempt, result = self._claim_key(work, key)
         log_event(
             'claim',
             request=work.request_id,
@@ -184,6 +183,23 @@
             self._service.adopt(frozenset(names[name] for name in owned))
             self._steering.clock.sleep(FOLLOW_PERIOD_S)
 
+    def _claim_key(self, work: Work, key: ClaimKey) -> tuple[Attempt, ClaimResult]:
+        """Claim `key`; ask again while its owner changes or an earlier send of it runs.
+
+        The resend of a request that has just ended finds its answer that way.
+        """
+        clock = self._steering.clock
+        give_up_at = min(work.deadline_at, clock.now() + MAX_WAIT_S)
+        while True:
+            token = f'{work.request_id}.{secrets.token_hex(ATTEMPT_BYTES)}'
+            attempt = Attempt(key, token)
+            remaining_s = give_up_at - clock.now()
+            result = self._claim_at_owner(attempt, remaining_s)
+            is_open = isinstance(result, Unavailable | InProgress)
+            if not is_open or remaining_s < 2 * CLAIM_PAUSE_S:
+                return attempt, result
+            clock.sleep(CLAIM_PAUSE_S)
+
     def _parse(self, work: Work) -> ClaimKey | NotRun:
         return parse_claim_key(
             work.team or '',
--- a/currantmast/runtime/entry.py
+++ b/currantmast/runtime/entry.py
@@ -10,6 +10,7 @@
 from currantmast.decisions.links import LinkReservation
 from currantmast.decisions.retries import Attempt, Retry, Stop, choose_retry
 from currantmast.decisions.routing import Route, RouteRequest, count_headroom
+from currantmast.decisions.suspects import State
 from currantmast.errors import (
     AnswerIncomplete,
     CurrantmastError,
@@ -17,7 +18,7 @@
     ProgressTimeout,
     TransportError,
 )
-from currantmast.messages import Address
+from currantmast.messages import Address, Suspect
 from currantmast.outcomes import (
     Done,
     NotRun,
@@ -29,7 +30,7 @@
 from currantmast.runtime.forwarding import Connections, HopAnswer, HopRequest
 from currantmast.runtime.logs import log_event
 from currantmast.runtime.metrics import Metrics
-from currantmast.runtime.owner import Owner
+from currantmast.runtime.owner import Owner, identify
 from currantmast.runtime.servers import (
     SMALL_BODY_BYTES,
     Answer,
@@ -140,6 +141,8 @@
         except BodyBroken as error:
             return WorkAnswer(NotRun(Reason.bad_request, str(error)))
         caller = inbound.headers.get('caller-address', inbound.remote)
+        suspicion = self._steering.quarantine.find_state(identify(work))
+        work = msgspec.structs.replace(work, suspicion=suspicion)
         return self._steer(Trip(work, self._steering.locate(caller)))
 
     def _admit(self, request: AdmissionRequest) -> Admitted | NotRun:
@@ -190,6 +193,7 @@
                 return WorkAnswer(route)
             answer = self._attempt(trip, route)
             trip.tried = (*trip.tried, route.owner_id)
+            self._note_crash(trip, answer.outcome)
             match choose_retry(
                 self._describe_attempt(trip, answer), self._steering.retries
             ):
@@ -198,6 +202,17 @@
                 case Retry(reason):
                     log_event('retry', request=trip.work.request_id, reason=reason)
 
+    def _note_crash(self, trip: Trip, outcome: Outcome) -> None:
+        """Tell the next owner of a crash; two in one trip convict the request."""
+        if not isinstance(outcome, OutcomeUnknown):
+            return
+        if outcome.reason is not Reason.target_lost:
+            return
+        fingerprint = identify(trip.work)
+        state = State.quarantined if trip.work.suspicion else State.suspect
+        self._steering.quarantine.merge((Suspect(fingerprint, state.value, 0),))
+        trip.work = msgspec.structs.replace(trip.work, suspicion=state.value)
+
     def _choose_route(self, trip: Trip) -> Route | NotRun:
         work = trip.work
         route = self._steering.route(make_route_request(work, trip, self._steering))
@@ -436,6 +451,8 @@
         marks.append(('Team', work.team))
     if work.request_key is not None:
         marks.append(('Request-Key', work.request_key))
+    if work.suspicion:
+        marks.append(('Suspicion', work.suspicion))
     return (*work.headers, *marks)
 
 
--- a/currantmast/runtime/owner.py
+++ b/currantmast/runtime/owner.py
@@ -19,6 +19,7 @@
     NothingSent,
     ProgressTimeout,
 )
+from currantmast.messages import Suspect
 from currantmast.outcomes import Done, NotRun, Outcome, OutcomeUnknown, Reason
 from currantmast.runtime.forwarding import Connections, HopAnswer, HopRequest
 from currantmast.runtime.logs import log_event
@@ -77,7 +78,10 @@
         refusal = self._check_right()
         if refusal is not None:
             return WorkAnswer(refusal)
-        match self._steering.quarantine.check(fingerprint):
+        quarantine = self._steering.quarantine
+        if work.suspicion:
+            quarantine.merge((Suspect(fingerprint, work.suspicion, 0),))
+        match quarantine.check(fingerprint):
             case Clear():
                 return self._run_claimed(work, fingerprint, alone=False)
             case RunAlone():
@@ -199,7 +203,7 @@
             case AnswerIncomplete():
                 reason = Reason.answer_incomplete
             case _:
-                reason = Reason.connection_lost
+                reason = Reason.target_lost
         return WorkAnswer(OutcomeUnknown(reason, 'the connection broke'))
 
     def _cancel(self, work: Work, slots: TargetSlots) -> None:
@@ -228,7 +232,7 @@
         match outcome:
             case Done():
                 quarantine.observe_end(fingerprint, alone)
-            case OutcomeUnknown(Reason.connection_lost | Reason.answer_incomplete):
+            case OutcomeUnknown(Reason.target_lost | Reason.answer_incomplete):
                 quarantine.observe_crash(fingerprint, alone, tuple(running.values()))
             case _ if alone:
                 quarantine.abandon(fingerprint)
--- a/currantmast/runtime/peerapp.py
+++ b/currantmast/runtime/peerapp.py
@@ -102,6 +102,7 @@
             request_key=headers.get('request-key'),
             entry=headers.get('entry', ''),
             entry_region=headers.get('entry-region', ''),
+            suspicion=headers.get('suspicion', ''),
         )
 
     def _wait_for_link(self, work: Work, answer: WorkAnswer) -> None:
--- a/currantmast/runtime/process.py
+++ b/currantmast/runtime/process.py
@@ -195,7 +195,10 @@
         self._public_app.is_leaving = True
         lifetime_s = self._steering.timing.lookup_lifetime_s
         self._try_fleet_change(self._fleet.mark_leaving)
-        self._clock.sleep(lifetime_s + LEAVE_MARGIN_S)
+        self._clock.sleep(lifetime_s)
+        for server in (self._public, self._peer):
+            server.announce_end()
+        self._clock.sleep(LEAVE_MARGIN_S)
         self._finish_requests()
         self._try_fleet_change(partial(self._fleet.remove, self._settings.id))
         log_event('left')
--- a/currantmast/runtime/servers.py
+++ b/currantmast/runtime/servers.py
@@ -1,6 +1,7 @@
 """HTTP servers: typed requests in, typed answers out, on gevent's WSGI server."""
 
 from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from http import HTTPStatus
 from socket import IPPROTO_TCP, TCP_NODELAY
 from typing import Any, Self
@@ -110,6 +111,11 @@
         # the first one costs 40 ms.
         self.socket.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
 
+    def handle_one_response(self) -> None:
+        """Count the request until its answer has been written."""
+        with self.server.count_request():
+            super().handle_one_response()
+
     def read_request(self, raw_requestline: str) -> Any:
         """Reject a request whose headers exceed the bounds."""
         accepted = super().read_request(raw_requestline)
@@ -135,6 +141,28 @@
         """Drop `message`."""
 
 
+class _CountingServer(WSGIServer):
+    """Server that knows how many requests have no written answer yet."""
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self.requests = 0
+        self.idle = Event()
+        self.idle.set()
+
+    @contextmanager
+    def count_request(self) -> Iterator[None]:
+        """Count one request for the length of the block."""
+        self.requests += 1
+        self.idle.clear()
+        try:
+            yield
+        finally:
+            self.requests -= 1
+            if not self.requests:
+                self.idle.set()
+
+
 class HttpServer:
     """Owns a listening socket and the connections that it accepted.
 
@@ -147,14 +175,12 @@
         Address to listen on; port 0 lets the kernel choose.
     """
 
-    __slots__ = ('_respond', '_idle', '_running', '_server', 'address')
+    __slots__ = ('_is_closing', '_respond', '_server', 'address')
 
     def __init__(self, listen: Address) -> None:
         self._respond: Callable[[Inbound], Answer] | None = None
-        self._running = 0
-        self._idle = Event()
-        self._idle.set()
-        self._server = WSGIServer(
+        self._is_closing = False
+        self._server = _CountingServer(
             (listen.host, listen.port),
             self._serve,
             handler_class=_Handler,
@@ -175,7 +201,7 @@
 
     def __repr__(self) -> str:
         """Return the address and the number of running requests."""
-        return f'<HttpServer {self.address} running={self._running}>'
+        return f'<HttpServer {self.address} running={self.running}>'
 
     def start(self, respond: Callable[[Inbound], Answer]) -> None:
         """Accept connections; `respond` returns the answer to each request."""
@@ -185,30 +211,30 @@
     @property
     def running(self) -> int:
         """Requests that are being served."""
-        return self._running
+        return self._server.requests
 
     def wait_idle(self, timeout_s: float) -> bool:
         """Wait until no request is being served; return whether that happened."""
-        return bool(self._idle.wait(timeout_s))
+        return bool(self._server.idle.wait(timeout_s))
 
     def stop_accepting(self) -> None:
         """Close the listening socket; running requests go on."""
         self._server.close()
 
+    def announce_end(self) -> None:
+        """Close every connection after its next answer, so that callers go elsewhere."""
+        self._is_closing = True
+
     def _serve(self, environ: dict[str, Any], start_response: Any) -> list[bytes]:
-        self._running += 1
-        self._idle.clear()
         try:
             answer = self._respond(_parse_environ(environ))
         except Exception as error:
             log_event('request_failed', level='ERROR', error=error)
             answer = Answer(FAILED)
-        finally:
-            self._running -= 1
-            if not self._running:
-                self._idle.set()
         phrase = HTTPStatus(answer.status).phrase
         headers = [*answer.headers, ('Content-Length', str(len(answer.body)))]
+        if self._is_closing:
+            headers.append(('Connection', 'close'))
         start_response(f'{answer.status} {phrase}', headers)
         return [answer.body]
 
--- a/currantmast/work.py
+++ b/currantmast/work.py
@@ -29,6 +29,7 @@
         'deadline-ms',
         'request-id',
         'request-key',
+        'suspicion',
         'caller-address',
         'user-agent',
     )
@@ -60,6 +61,9 @@
         Key chosen by the caller that makes resends one execution.
     entry, entry_region : str
         Instance that admitted the request, and its region.
+    suspicion : str
+        What the entry knows of the request's crashes: ``suspect``, ``quarantined``, or
+        empty. The owner may not have heard of them yet.
     """
 
     request_id: str
@@ -74,6 +78,7 @@
     request_key: str | None
     entry: str
     entry_region: str
+    suspicion: str = ''
 
     @property
     def replayable(self) -> bool:
--- a/tests/test_ledgers.py
+++ b/tests/test_ledgers.py
@@ -201,7 +201,7 @@
 
 
 def test_shares_follow_demand_and_stay():
-    exchange = Exchange(100, 50)
+    exchange = Exchange(25, 50)
     exchange.run(20, {'i0': 15, 'i1': 5})
     first, second = exchange.get_share('i0'), exchange.get_share('i1')
     assert first[0] > 2 * second[0] > 2 * exchange.get_share('i2')[0] > 0
@@ -211,6 +211,16 @@
     assert len(exchange.grants) <= 4, exchange.grants
 
 
+def test_unused_budget_is_divided_beside_the_demand():
+    # Guards against sudden demand that finds a burst of one request only, and against
+    # users whose share is below a demand that the budget has room for.
+    exchange = Exchange(100, 50)
+    exchange.run(20, {'i0': 15, 'i1': 5})
+    assert exchange.get_share('i0')[0] >= 15
+    assert exchange.get_share('i1')[0] >= 5
+    assert min(exchange.get_share(f'i{number}')[0] for number in range(9)) >= 5
+
+
 def test_every_user_of_a_small_budget_gets_a_turn():
     # Guards against users that starve for good because there are fewer units of
     # burst than users.
