--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -250,6 +250,50 @@
     assert isinstance(one.make_batch().operations[0], Released)
 
 
+def test_claim_after_its_release_is_not_fresh():
+    """Guards against an attempt that runs after it was given up elsewhere."""
+    _, key, log = make_logs(1)
+    log.release(key, 'a')
+    log.commit(log.make_batch())
+    log.claim(key, 'a')
+    (decided,) = log.commit(log.make_batch())
+    assert isinstance(decided.decision, Unavailable)
+
+
+def test_commit_after_a_pause_decides_nothing():
+    """Guards against a fresh claim by an owner that read the log long ago."""
+    clock, key, log = make_logs(1)
+    log.claim(key, 'a')
+    batch = log.make_batch()
+    clock.advance(61)
+    assert log.commit(batch) == ()
+    assert not log.is_current()
+
+
+def test_late_batch_in_a_deleted_place_is_passed_over():
+    """Guards against replaying a batch that the log's later batches don't follow."""
+    _, key, one, two, three = make_logs(3)
+    one.claim(key, 'late')
+    two.claim(replace(key, team='u'), 'first')
+    two.commit(two.make_batch())
+    two.claim(key, 'second')
+    successor = two.make_batch()
+    three.load([one.make_batch(), successor], 0)
+    three.record(key, 'second', RecordedAnswer('done', 200))
+    three.commit(three.make_batch())
+    assert isinstance(three.claim(key, 'x'), Repeated)
+
+
+def test_deletions_leave_no_gap():
+    """Guards against a deleted batch that hides an older one still needed."""
+    clock, key, log = make_logs(1)
+    for number, issued in enumerate((key.issued_at + 50, key.issued_at, 0)):
+        log.record(replace(key, team=f't{number}', issued_at=issued), 'a', None)
+        log.commit(log.make_batch())
+    clock.advance(LIFETIME_S + 1)
+    assert log.list_obsolete() == ()
+
+
 def test_absent_last_batch_is_not_reused():
     """Guards against sequence numbers that start anew after deletions."""
     clock, key, log = make_logs(1)
