Carry the links of a fleet through fault proxies

One proxy process for each region carries the control, peer and store links that start there, with the deployment's delays and link rates. One process for all links was ruled out: nine instances have 153 links. The command 'standin proxy' is added because the launcher starts the binary only.

--- a/currantmast/commands/processes.py
+++ b/currantmast/commands/processes.py
@@ -25,6 +25,11 @@
             lambda: load('currantmast.standins.targets', 'run_targets')(settings)
         )
 
+    @take_texts('settings')
+    def proxy(self, settings: str) -> Task:
+        """Run the fault-injecting proxy; SETTINGS is its YAML file."""
+        return Task(lambda: load('currantmast.standins.proxy', 'run_proxy')(settings))
+
 
 def load(module: str, name: str) -> Any:
     """Return `name` of `module`, imported now."""
--- a/currantmast/experiment/disturbances.py
+++ b/currantmast/experiment/disturbances.py
@@ -100,3 +100,28 @@
         stack.callback(fleet.resume, chosen)
         fleet.pause(chosen)
         yield
+
+
+@contextmanager
+def cut_region(fleet: LocalFleet, region: str, store: bool) -> Iterator[None]:
+    """Cut all links between one region and the others.
+
+    Parameters
+    ----------
+    fleet : LocalFleet
+        Fleet with fault proxies.
+    region : str
+        Region to cut off.
+    store : bool
+        Whether its links to the store are cut too.
+    """
+    others = [one.id for one in fleet.plan.deployment.base.regions if one.id != region]
+    patterns = [f'*.{region}.*.{other}.*' for other in others]
+    patterns.extend(f'*.{other}.*.{region}.*' for other in others)
+    if store:
+        patterns.append(f'store.{region}.*')
+    with ExitStack() as stack:
+        for pattern in patterns:
+            stack.callback(fleet.set_link, pattern, cut=False)
+            fleet.set_link(pattern, cut=True)
+        yield
--- a/currantmast/experiment/fleet.py
+++ b/currantmast/experiment/fleet.py
@@ -11,7 +11,8 @@
 from currantmast.experiment import formats
 from currantmast.experiment.controls import Controls
 from currantmast.experiment.groups import ProcessGroup
-from currantmast.experiment.plans import InstancePlan, make_plan
+from currantmast.experiment.instances import InstancePlan
+from currantmast.experiment.plans import make_plan
 from currantmast.experiment.processes import (
     POLL_S,
     CommandResult,
@@ -42,6 +43,8 @@
         Seed of keys and service times.
     instances_per_region : int
         Instances of each region, spread over its failure domains.
+    faults : bool
+        Whether fault proxies carry the links between instances and to the store.
     deployment : Deployment or None
         Changed form of the deployment in the directory, for experiments.
 
@@ -58,12 +61,13 @@
         deployment_dir: str | Path,
         seed: int = 1,
         instances_per_region: int = 3,
+        faults: bool = False,
         deployment: Deployment | None = None,
     ) -> None:
         self._source = Path(deployment_dir)
         self._seed = seed
         loaded = deployment or load_deployment(self._source)
-        self.plan = make_plan(loaded, seed, instances_per_region)
+        self.plan = make_plan(loaded, seed, instances_per_region, faults)
         self.controls = Controls()
         super().__init__()
 
@@ -107,6 +111,24 @@
             self.controls, self.plan.find_host(target), target, fields
         )
 
+    def set_link(self, pattern: str, **fields: Any) -> int:
+        """Set fields of the faults of links, for example ``cut=True``.
+
+        Parameters
+        ----------
+        pattern : str
+            Pattern of link names, see `LinkPlan`.
+
+        Returns
+        -------
+        int
+            Number of links changed.
+        """
+        return sum(
+            formats.set_link_fault(self.controls, proxy, pattern, fields)
+            for proxy in self.plan.proxies
+        )
+
     def run_command(self, *arguments: str) -> CommandResult:
         """Run an operator command of the binary and return its result."""
         return run_command(arguments, self.directory, COMMAND_TIMEOUT_S)
@@ -127,17 +149,23 @@
 
     def start_all(self) -> None:
         """Start the stand-ins, publish the deployment and start the instances."""
+        self._start_standins()
+        self._publish()
+        for instance in self.plan.instances:
+            self._start_instance(instance)
+        self.wait_instances()
+
+    def _start_standins(self) -> None:
         store = self.plan.store
         self._start_standin(STORE, 'objects', formats.make_store_settings(store))
         for host in self.plan.hosts:
-            settings = formats.make_target_settings(self.plan, host, self._seed)
-            self._start_standin(host.name, 'targets', settings)
+            targets = formats.make_target_settings(self.plan, host, self._seed)
+            self._start_standin(host.name, 'targets', targets)
+        for proxy in self.plan.proxies:
+            links = formats.make_proxy_settings(proxy, self._seed)
+            self._start_standin(proxy.name, 'proxy', links)
         for process in self.list_processes():
             process.wait_ready(READY_TIMEOUT_S)
-        self._publish()
-        for instance in self.plan.instances:
-            self._start_instance(instance)
-        self.wait_instances()
 
     def _publish(self) -> None:
         directory = formats.write_deployment(
--- a/currantmast/experiment/formats.py
+++ b/currantmast/experiment/formats.py
@@ -5,6 +5,7 @@
 
 import shutil
 from collections.abc import Iterator
+from fnmatch import fnmatchcase
 from pathlib import Path
 from typing import Any
 
@@ -12,10 +13,11 @@
 
 from currantmast.deployment import Deployment, ServiceKind, Shift
 from currantmast.experiment.controls import Controls
+from currantmast.experiment.instances import InstancePlan
+from currantmast.experiment.links import CONTROL, PEER, STORE, LinkPlan, ProxyPlan
 from currantmast.experiment.plans import (
     FleetPlan,
     HostedTarget,
-    InstancePlan,
     TargetHost,
     digest_key,
 )
@@ -23,6 +25,8 @@
 from currantmast.messages import Address
 from currantmast.standins import executions as logs
 from currantmast.standins.objects import ObjectsSettings
+from currantmast.standins.proxy import ProxySettings
+from currantmast.standins.shaping import LinkFaults, LinkSettings
 from currantmast.standins.targetsettings import TargetSettings, TargetsSettings
 
 STORE_CALL_S = 0.002
@@ -168,7 +172,12 @@
 
 def make_instance_document(plan: FleetPlan, instance: InstancePlan) -> InstanceDocument:
     """Return the settings of `instance`."""
-    others = (other for other in plan.instances if other.id != instance.id)
+    links = {
+        (link.kind, link.destination): str(link.listen)
+        for link in plan.list_links(instance.id)
+    }
+    others = [other for other in plan.instances if other.id != instance.id]
+    seeds = {other.id: links.get((PEER, other.id), str(other.peer)) for other in others}
     return InstanceDocument(
         id=instance.id,
         region=instance.region,
@@ -176,11 +185,35 @@
         public=str(instance.public),
         peer=str(instance.peer),
         control=str(instance.control),
-        store=str(plan.store),
-        seeds=tuple(str(other.peer) for other in others),
+        store=links.get((STORE, ''), str(plan.store)),
+        seeds=tuple(seeds.values()),
+        address_overrides={
+            name: PeerOverride(seeds[name], links[(CONTROL, name)])
+            for name in seeds
+            if links
+        },
+    )
+
+
+def make_proxy_settings(proxy: ProxyPlan, seed: int) -> ProxySettings:
+    """Return the settings of a fault proxy."""
+    return ProxySettings(
+        links=tuple(_make_link(link) for link in proxy.links),
+        address=proxy.control,
+        seed=seed,
     )
 
 
+def set_link_fault(
+    controls: Controls, proxy: ProxyPlan, pattern: str, fields: dict[str, Any]
+) -> int:
+    """Set fields of the faults of all links that match; return how many there are."""
+    count = sum(fnmatchcase(link.name, pattern) for link in proxy.links)
+    if count:
+        controls.change(proxy.control, f'/links/{pattern}', **fields)
+    return count
+
+
 def make_publication(directory: str, store: Address) -> tuple[str, ...]:
     """Return the command that publishes the deployment in `directory`."""
     return ('publish', directory, f'--store={store}')
@@ -224,6 +257,17 @@
     return ('key', 'withdraw', digest)
 
 
+def _make_link(link: LinkPlan) -> LinkSettings:
+    faults = LinkFaults(delay_ms=link.delay_ms, bandwidth_mbit_s=link.bandwidth_mbit_s)
+    return LinkSettings(
+        name=link.name,
+        upstream=link.upstream,
+        listen=link.listen,
+        channel=link.channel,
+        faults=faults,
+    )
+
+
 def _make_target(target: HostedTarget, kind: ServiceKind) -> TargetSettings:
     return TargetSettings(
         service=target.service,
--- a/currantmast/experiment/plans.py
+++ b/currantmast/experiment/plans.py
@@ -2,14 +2,15 @@
 
 import hashlib
 import random
-import socket
 from collections import defaultdict
-from contextlib import ExitStack
 
 import msgspec
 from msgspec.structs import replace
 
 from currantmast.deployment import Deployment, Pool, Region, Team
+from currantmast.experiment.instances import InstancePlan
+from currantmast.experiment.links import LinkPlan, LinkPlanner, ProxyPlan
+from currantmast.experiment.ports import PortReserver
 from currantmast.messages import Address
 
 INSTANCES_PER_REGION = 3
@@ -17,17 +18,6 @@
 KEY_BITS = 128
 
 
-class InstancePlan(msgspec.Struct, frozen=True):
-    """One instance and its listeners."""
-
-    id: str
-    region: str
-    failure_domain: str
-    public: Address
-    peer: Address
-    control: Address
-
-
 class HostedTarget(msgspec.Struct, frozen=True):
     """One target and the pool it belongs to."""
 
@@ -61,6 +51,8 @@
         Listener of the object API.
     keys : dict
         Key of each team by team id.
+    proxies : tuple of ProxyPlan
+        Fault proxies; none where instances connect directly.
     """
 
     deployment: Deployment
@@ -68,6 +60,16 @@
     hosts: tuple[TargetHost, ...]
     store: Address
     keys: dict[str, str]
+    proxies: tuple[ProxyPlan, ...] = ()
+
+    def list_links(self, source: str) -> tuple[LinkPlan, ...]:
+        """Return the proxied links that start at the instance `source`."""
+        return tuple(
+            link
+            for proxy in self.proxies
+            for link in proxy.links
+            if link.source == source
+        )
 
     def get_instance(self, instance_id: str) -> InstancePlan:
         """Return the plan of one instance."""
@@ -81,33 +83,11 @@
         raise KeyError(target)
 
 
-class PortReserver:
-    """Kernel-chosen ports, kept bound until the block ends so that none is given twice."""
-
-    __slots__ = ('_stack',)
-
-    def __init__(self) -> None:
-        self._stack = ExitStack()
-
-    def __enter__(self) -> 'PortReserver':
-        """Return the reserver itself."""
-        return self
-
-    def __exit__(self, *failure: object) -> None:
-        """Release all ports for the processes to bind."""
-        self._stack.close()
-
-    def reserve(self, host: str) -> Address:
-        """Return a free address on `host`."""
-        listener = self._stack.enter_context(socket.socket())
-        listener.bind((host, 0))
-        return Address(host, listener.getsockname()[1])
-
-
 def make_plan(
     deployment: Deployment,
     seed: int,
     instances_per_region: int = INSTANCES_PER_REGION,
+    faults: bool = False,
 ) -> FleetPlan:
     """Return the plan of a local fleet for `deployment`.
 
@@ -119,14 +99,18 @@
         Seed of the keys.
     instances_per_region : int
         Instances of each region, spread over its failure domains.
+    faults : bool
+        Whether fault proxies carry all links, with the deployment's delays.
     """
     with PortReserver() as ports:
         hosts = _plan_hosts(deployment, ports)
         instances = _plan_instances(deployment, ports, instances_per_region)
         store = ports.reserve(STORE_HOST)
+        planner = LinkPlanner(deployment, instances, store)
+        proxies = tuple(planner.plan_proxies(ports)) if faults else ()
     keys = _make_keys(deployment, seed)
     derived = _derive_deployment(deployment, hosts, keys)
-    return FleetPlan(derived, instances, hosts, store, keys)
+    return FleetPlan(derived, instances, hosts, store, keys, proxies)
 
 
 def digest_key(key: str) -> str:
