--- a/tests/test_ledgers.py
+++ b/tests/test_ledgers.py
@@ -7,11 +7,13 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from currantmast.clocks import ManualClock
-from currantmast.decisions.allotment import Terms, Want, choose_shares
+from currantmast.decisions.accounts import Accounts
+from currantmast.decisions.allotment import Share, Terms, Want, choose_shares
 from currantmast.decisions.budgets import ShareHolder
 from currantmast.decisions.ledgers import Ledger
 from currantmast.decisions.sightings import get_key
 from currantmast.deployment import Policy, PolicyKind
+from currantmast.messages import ShareHeld
 
 NAMES = ('a', 'b', 'c')
 RATE, BURST = 0.5, 6.0
@@ -179,14 +181,26 @@
         return (held[0].rate, held[0].burst) if held else (0, 0)
 
 
-def test_pool_hands_out_only_what_it_gathered():
-    # Guards against tokens that stay in the pool after a grant took them.
-    exchange = Exchange(0.5, 6, count=2)
-    exchange.run(4)
-    for name in ('i0', 'i1') * 3:
-        exchange.run(8, {name: 2})
-    handed_out = sum(grant.tokens for grant in exchange.grants)
-    assert handed_out <= 0.5 * exchange.clock.now()
+def test_pool_moves_tokens_and_makes_none():
+    # Guards against tokens that stay in the pool after a grant took them, and
+    # against returned tokens that a repeated report adds again.
+    clock = ManualClock()
+    accounts = Accounts('x', Terms(0.5, 6), 1, clock)
+    first, second = (get_key(make_member(name)) for name in 'ab')
+    accounts.size_pool()
+    clock.advance(6)
+    accounts.grant(first, Share(0.5, 2))
+    accounts.grant(second, Share(0, 2))
+    assert accounts.get(first).pending.tokens == 2
+    assert accounts.get(second).pending.tokens == 1
+    for sequence, returned in ((1, 0), (3, 2)):
+        held = ShareHeld('x', 1, sequence, 0.5, 2 - returned, returned)
+        accounts.report(first, held, 0)
+        accounts.report(first, held, 0)
+        accounts.grant(first, Share(0.5, 0))
+    accounts.remove(first)
+    accounts.grant(get_key(make_member('c')), Share(0.5, 4))
+    assert accounts.get(get_key(make_member('c'))).pending.tokens == 2
 
 
 def test_sudden_demand_gets_tokens_with_the_second_heartbeat():
