--- a/currantmast/decisions/routing.py
+++ b/currantmast/decisions/routing.py
@@ -1,8 +1,8 @@
 """Routing: which region and owner an entry sends a request to."""
 
+import math
 import random
 from collections.abc import Iterable, Sequence
-from operator import attrgetter
 
 import msgspec
 
@@ -14,12 +14,25 @@
 # Seconds after which a reported free slot is no longer believed.
 TRUST_S = 2
 
-# Network delay in seconds that weighs as much as the step from an idle to a full owner.
+# Network delay in seconds that halves the weight of an owner.
 DELAY_SCALE_S = 0.05
 
 # Part of another region's usable slots that a spill leaves to that region's own callers.
 SPILL_RESERVE = 0.1
 
+# Seconds by which reports are older than their age since receipt, on average: half a
+# heartbeat, in which other entries have already used them.
+REPORT_SPREAD_S = 0.25
+
+# Weight of the newest duration in the mean.
+SMOOTHING = 0.1
+
+# Turnover at which an owner is weighed by its capacity and its queue alone.
+FULL_TURNOVER = 1
+
+# Least weight of an owner whose queue is longer than its capacity.
+MIN_WEIGHT = 0.001
+
 # Attempt timeout of the plain baseline, in seconds.
 PLAIN_TIMEOUT_S = 2
 
@@ -67,7 +80,9 @@
     age_s : float
         Seconds since the report was received.
     sent_since : int
-        Requests that this instance has sent to it since.
+        Requests that this instance has sent to it since the report, less those of its
+        requests that have ended there since; may be negative. Without the ended ones, a
+        fast service would look full long before the next report.
     """
 
     member_id: str
@@ -80,7 +95,9 @@
 
     def count_free(self) -> int:
         """Return the slots that can be taken to be free."""
-        return 0 if self.age_s > TRUST_S else max(0, self.free - self.sent_since)
+        if self.age_s > TRUST_S:
+            return 0
+        return min(self.usable, max(0, self.free - self.sent_since))
 
 
 class Score(msgspec.Struct, frozen=True):
@@ -92,15 +109,15 @@
         The candidate.
     delay_s : float
         Network time of the exchange in seconds, the transfer of the body included.
-    cost : float
-        Weighted sum of delay and load; the lowest is best.
+    weight : float
+        How often it is drawn, relative to the others of its region; from load and delay.
     obstacle : str
         Why it can't be chosen; empty if it can.
     """
 
     view: OwnerView
     delay_s: float
-    cost: float
+    weight: float
     obstacle: str = ''
 
 
@@ -159,7 +176,7 @@
         Seed of the choice between candidates; None takes one from the system.
     """
 
-    __slots__ = ('_clock', '_network', '_policy', '_random', '_turn')
+    __slots__ = ('_clock', '_durations', '_network', '_policy', '_random', '_turn')
 
     def __init__(
         self,
@@ -174,6 +191,8 @@
         # Spreads load only; nothing secret depends on it.
         self._random = random.Random(seed)
         self._turn = 0
+        # Mean duration of requests by service, in seconds.
+        self._durations: dict[str, float] = {}
 
     def __repr__(self) -> str:
         """Return the kind of policy."""
@@ -198,7 +217,7 @@
         home = [score for score in able if score.view.region == request.home_region]
         spill = [score for score in able if score.view.region != request.home_region]
         return (
-            self._choose(request, _list_free(home), 'home')
+            self._choose(request, _list_worthwhile(request, home), 'home')
             or self._choose(request, _list_spill(spill), 'spill')
             or self._choose_queue(request, home or spill)
         )
@@ -209,36 +228,58 @@
         """Return the score of every candidate, in the order given."""
         return tuple(self._rate(request, view) for view in candidates)
 
+    def observe_duration(self, service: str, duration_s: float) -> None:
+        """Learn how long a request of `service` held its slot, in seconds.
+
+        It decides for how long reports of free slots are of use.
+        """
+        mean_s = self._durations.get(service, duration_s)
+        self._durations[service] = mean_s + SMOOTHING * (duration_s - mean_s)
+
     def _rate(self, request: RouteRequest, view: OwnerView) -> Score:
         delay_s = self._network.estimate_exchange_s(
             request.entry_region, view.region, request.body_bytes
         )
-        cost = (
-            self._policy.latency_weight * delay_s / DELAY_SCALE_S
-            + self._policy.headroom_weight * _rate_load(view)
+        turnover = self._estimate_turnover(request.service, view)
+        load = _weigh_load(view, turnover)
+        nearness = 1 / (1 + delay_s / DELAY_SCALE_S)
+        weight = (
+            load
+            and load**self._policy.headroom_weight
+            * nearness**self._policy.latency_weight
         )
-        return Score(view, delay_s, cost, _find_obstacle(request, view, delay_s))
+        return Score(view, delay_s, weight, _find_obstacle(request, view, delay_s))
+
+    def _estimate_turnover(self, service: str, view: OwnerView) -> float:
+        """Return the requests that each slot of an owner has ended since its report.
+
+        For a service of unknown duration the report is taken to be in force still.
+        """
+        duration_s = self._durations.get(service, math.inf)
+        return (view.age_s + REPORT_SPREAD_S) / duration_s
 
     def _choose(
         self, request: RouteRequest, scores: Sequence[Score], reason: str
     ) -> Route | None:
-        """Return the better of two candidates drawn by their free slots.
+        """Draw one candidate by weight.
 
-        Entries see the same reports; taking the best of all would send the work of all
-        entries to one owner until its next report.
+        Entries see the same reports; taking the best of all, or the better of two, sends
+        the work of all entries to the same few owners until their next reports.
         """
-        if not scores:
+        if not any(score.view.count_free() for score in scores):
             return None
-        weights = [max(1, score.view.count_free()) for score in scores]
-        drawn = self._random.choices(scores, weights=weights, k=2)
-        view = min(drawn, key=attrgetter('cost')).view
+        weights = [score.weight for score in scores]
+        view = self._random.choices(scores, weights)[0].view
         return Route(view.member_id, view.region, reason, request.deadline_s)
 
     def _choose_queue(
         self, request: RouteRequest, scores: Sequence[Score]
     ) -> Route | NotRun:
-        route = None if request.tried else self._choose(request, scores, 'queue')
-        return route or NotRun(Reason.no_capacity, 'no free slot in any region')
+        if request.tried:
+            return NotRun(Reason.no_capacity, 'no free slot in any region')
+        weights = [_weigh_load(score.view, FULL_TURNOVER) for score in scores]
+        view = self._random.choices(scores, weights)[0].view
+        return Route(view.member_id, view.region, 'queue', request.deadline_s)
 
     def _take_turn(self, request: RouteRequest, able: Sequence[Score]) -> Route:
         home = [score for score in able if score.view.region == request.home_region]
@@ -265,11 +306,21 @@
     )
 
 
-def _rate_load(view: OwnerView) -> float:
-    """Return the load, 0 when idle, 1 when full, more with a queue."""
-    trust = max(0, 1 - view.age_s / TRUST_S)
-    free = trust * view.count_free()
-    return 1 + (view.queued - free) / max(1, view.usable)
+def _weigh_load(view: OwnerView, turnover: float) -> float:
+    """Return the weight of an owner, between its free slots and its whole capacity.
+
+    A request that outlasts the reports needs a slot that is free now. Of a service that
+    ends many requests between two reports an owner can take its part of the capacity,
+    corrected by its present load; the faster the service, the less the load at the time
+    of the report matters, and a full correction would make the load oscillate.
+    """
+    if turnover <= 0:
+        return view.count_free()
+    part = min(1, turnover**2)
+    free = min(view.usable, view.free - view.sent_since)
+    correction = (free - view.queued) / max(1, turnover)
+    capacity = max(MIN_WEIGHT, view.usable + correction)
+    return (1 - part) * view.count_free() + part * capacity
 
 
 def _find_obstacle(request: RouteRequest, view: OwnerView, delay_s: float) -> str:
@@ -292,6 +343,11 @@
     return [score for score in scores if score.view.count_free() > 0]
 
 
+def _list_worthwhile(request: RouteRequest, home: list[Score]) -> list[Score]:
+    """Return the candidates of the home region; for a retry those with free slots."""
+    return _list_free(home) if request.tried else home
+
+
 def _list_spill(scores: Sequence[Score]) -> list[Score]:
     """Return the candidates with free slots in regions with more than their reserve."""
     headrooms = count_headroom(score.view for score in scores)
--- a/currantmast/messages.py
+++ b/currantmast/messages.py
@@ -138,7 +138,7 @@
     fingerprint : str
         Digest that identifies the request.
     state : str
-        ``suspect``, ``quarantined`` or ``cleared``.
+        ``suspect``, ``alone`` (runs alone at the sender), ``quarantined`` or ``cleared``.
     age_s : float
         Seconds since the state was entered, counted by the sender.
     """
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -30,9 +30,11 @@
     body_replayable=st.booleans(),
 )
 
+FULL = Attempt(NotRun(Reason.no_capacity), idempotent=True, sent=False, time_left_s=1)
+
 
 @settings(derandomize=True, database=None, max_examples=500)
-@given(st.lists(ATTEMPTS, max_size=30), st.sampled_from((0, 0.1, 1)))
+@given(st.lists(st.just(FULL) | ATTEMPTS, max_size=30), st.sampled_from((0, 0.1, 1)))
 def test_retries_are_safe_useful_and_within_the_budget(attempts, ratio):
     """Guards against a second execution and against retries that add to overload."""
     clock = ManualClock()
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -76,8 +76,8 @@
         RouteRequest('s', 'team', 'a', 'a', 1, body_bytes=50_000_000),
     ):
         assert make_router().choose_owner(request, views).reason == 'queue'
-        costs = [score.cost for score in make_router().explain(request, views)]
-        assert costs[1] > costs[0]
+        obstacles = [score.obstacle for score in make_router().explain(request, views)]
+        assert obstacles == ['', 'too far for the deadline']
 
 
 def test_plain_policy_takes_turns_whatever_the_load():
