Look for an idle target only when a waiter needs one

Each dispatch looked for an idle target although suspects are rare, and did so once more for an empty queue.

--- a/currantmast/decisions/slots.py
+++ b/currantmast/decisions/slots.py
@@ -143,8 +143,10 @@
         return chain.from_iterable(places.values() for places in self._teams.values())
 
     def _start_next(self, targets: Sequence[TargetSlots]) -> bool:
-        idle = choose_target(targets, alone=True)
+        if not len(self):
+            return False
         alone = any(place.waiter.alone for place in self._list_places())
+        idle = choose_target(targets, alone=True) if alone else None
         spared = alone and idle is None
         free = choose_target(_spare_target(targets) if spared else targets)
         for place in self._list_places():
