Check settled keys against unconfirmed records only

A key's check hashed all members of up to 32 records on each call, also long after all had confirmed. The state machine now also checks that budgets are used again after recovery.

--- a/currantmast/decisions/handover.py
+++ b/currantmast/decisions/handover.py
@@ -45,12 +45,13 @@
         before this object does.
     """
 
-    __slots__ = ('_awaited', '_observer', '_past', '_record')
+    __slots__ = ('_awaited', '_observer', '_past', '_record', '_unconfirmed')
 
     def __init__(self, observer: Observer) -> None:
         self._observer = observer
         self._record: FleetRecord | None = None
         self._past: list[FleetRecord] = []
+        self._unconfirmed: list[FleetRecord] = []
         self._awaited: dict[MemberKey, int] = {}
 
     def adopt_record(self, record: FleetRecord) -> None:
@@ -62,7 +63,8 @@
         if previous is None:
             self._await_all(record, 0)
         else:
-            self._past.append(previous)
+            self._past = [*self._past, previous][-RECORD_LIMIT:]
+            self._unconfirmed.append(previous)
         if previous is not None and record.epoch > previous.epoch + 1:
             self._await(previous.members, record.epoch)
             self._await_all(record, previous.epoch)
@@ -89,7 +91,7 @@
         return None
 
     def _find_unsettled(self, key: str, region: str | None) -> Member | None:
-        for record in self._past:
+        for record in self._unconfirmed:
             owner = choose_owner(record, key, region)
             if owner is None:
                 continue
@@ -103,6 +105,13 @@
             key.id, key.incarnation, epoch
         ) or observer.has_expired(key.id, key.incarnation)
 
+    def _is_over(self, record: FleetRecord) -> bool:
+        """Return whether no member can act under `record` any more."""
+        return all(
+            self._has_passed(get_key(member), record.epoch + 1)
+            for member in record.members
+        )
+
     def _await(self, members: Iterable[Member], epoch: int) -> None:
         for member in members:
             key = get_key(member)
@@ -117,9 +126,12 @@
         )
 
     def _drop_irrelevant(self) -> None:
-        while len(self._past) > RECORD_LIMIT:
-            oldest = self._past.pop(0)
+        self._unconfirmed = [
+            record for record in self._unconfirmed if not self._is_over(record)
+        ]
+        for oldest in self._unconfirmed[:-RECORD_LIMIT]:
             self._await(oldest.members, oldest.epoch + 1)
+        self._unconfirmed = self._unconfirmed[-RECORD_LIMIT:]
         self._awaited = {
             key: epoch
             for key, epoch in self._awaited.items()
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -2,7 +2,7 @@
 
 import random
 
-from fleet import KEYS, Fleet
+from fleet import KEYS, RATE, Fleet
 from hypothesis import HealthCheck, Phase, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
@@ -75,6 +75,11 @@
         # Guards against keys that are safe only because nobody may use them.
         running = self.fleet.list_running()
         assert all(any(node.owns(key) for node in running) for key in KEYS)
+        admitted = len(self.fleet.admissions)
+        self.fleet.run(10, [running[0].member_id])
+        # A tenth of the rate shows that the budget is in use, not how well.
+        assert len(self.fleet.admissions) > admitted + RATE
+        self.fleet.check_admissions()
 
 
 FleetMachine.TestCase.settings = settings(
