Hold slots of expired owners only, and confirm new fleet records at once

Cause: while instances were replaced in turn, requests were refused as no_capacity: after every epoch change an owner held all slots of targets it had taken over before, because the earlier owner was gone, though that owner had confirmed the takeover; a rejoined instance held all slots for its own earlier run; new records were confirmed only with the next heartbeat. Change: slots are held only at the first settlement after a takeover, and only if the earlier owner never confirmed it; members that left gracefully leave no holds; an adopted record is confirmed to all peers at once; routing learns of ended requests and their duration.

--- a/currantmast/runtime/beating.py
+++ b/currantmast/runtime/beating.py
@@ -21,6 +21,10 @@
 ALLOT_PERIOD_S = 0.1
 
 
+class Wake(msgspec.Struct, frozen=True):
+    """Asks for heartbeats at once, because peers wait for what they will say."""
+
+
 class Schedule(msgspec.Struct):
     """Monotonic times in seconds at which periodic work is due."""
 
@@ -69,6 +73,7 @@
     def run(self) -> None:
         """Handle messages and send heartbeats, for ever."""
         clock = self._steering.clock
+        self._steering.notify = self._wake
         while True:
             wait_s = max(0, self._schedule.beat_at - clock.now())
             try:
@@ -97,7 +102,13 @@
             self._link.send(peer.id, heartbeat)
         self._log_lease()
 
-    def _receive(self, message: ControlMessage) -> None:
+    def _wake(self) -> None:
+        self._link.inbox.put(Wake())
+
+    def _receive(self, message: ControlMessage | Wake) -> None:
+        if isinstance(message, Wake):
+            self._beat()
+            return
         match message:
             case Heartbeat():
                 self._answer(message)
--- a/currantmast/runtime/entry.py
+++ b/currantmast/runtime/entry.py
@@ -233,13 +233,26 @@
         return route
 
     def _attempt(self, trip: Trip, route: Route) -> WorkAnswer:
+        clock = self._steering.clock
+        started = clock.now()
         if route.owner_id == self._steering.member.id:
-            return self._owner.run(trip.work)
-        self._steering.views.note_sent(route.owner_id, trip.work.service.id)
+            answer = self._owner.run(trip.work)
+        else:
+            answer = self._send(trip, route)
+        if isinstance(answer.outcome, Done):
+            self._steering.note_duration(trip.work.service.id, clock.now() - started)
+        return answer
+
+    def _send(self, trip: Trip, route: Route) -> WorkAnswer:
         address = self._find_peer(route.owner_id)
         if address is None:
             return WorkAnswer(NotRun(Reason.unreachable, 'the peer has left'))
-        return self._forward(trip, route, address)
+        service = trip.work.service.id
+        self._steering.views.note_sent(route.owner_id, service)
+        try:
+            return self._forward(trip, route, address)
+        finally:
+            self._steering.views.note_ended(route.owner_id, service)
 
     def _forward(self, trip: Trip, route: Route, address: Address) -> WorkAnswer:
         work = trip.work
--- a/currantmast/steering.py
+++ b/currantmast/steering.py
@@ -1,6 +1,7 @@
 """The central object of an instance: configuration, fleet state and decisions."""
 
 from collections import Counter
+from collections.abc import Callable
 
 import msgspec
 
@@ -60,7 +61,9 @@
         self.peering = Peering(clock, member, timing)
         self.lease = self.peering.lease
         self.shares = self.peering.shares
-        self.targets = TargetTable(clock, member, self.peering.handover)
+        self.targets = TargetTable(
+            clock, member, self.peering.handover, self.peering.observer
+        )
         self.placement = Placement(clock, self.targets)
         self.views = OwnerViews(clock)
         self.quarantine = Quarantine(clock, timing.quarantine_s)
@@ -69,11 +72,13 @@
         self.refused: Counter[str] = Counter()
         self.configuration: Configuration | None = None
         self.inventory: Inventory | None = None
-        self.blocks: BlockTable | None = None
+        self._blocks: BlockTable | None = None
         self._router: Router | None = None
         self._directory: Directory | None = None
         self._unready: frozenset[str] = frozenset()
         self._fractions = FractionCounter()
+        # Called when peers should hear of a change before the next heartbeat is due.
+        self.notify: Callable[[], None] = do_nothing
 
     def __repr__(self) -> str:
         """Return the state of the fleet as this instance sees it."""
@@ -96,7 +101,7 @@
         base = configuration.deployment.base
         inventory = Inventory(configuration.deployment)
         if held is None or held.deployment.sites != configuration.deployment.sites:
-            self.blocks = BlockTable.from_sites(configuration.deployment.sites)
+            self._blocks = BlockTable.from_sites(configuration.deployment.sites)
         self.configuration = configuration
         self.inventory = inventory
         self._directory = None
@@ -116,6 +121,8 @@
             return False
         self._directory = None
         self.targets.adopt_record(record)
+        # New owners wait until their predecessors have confirmed the record.
+        self.notify()
         return True
 
     def observe_heartbeat(self, heartbeat: Heartbeat) -> None:
@@ -179,15 +186,19 @@
             if not self.inventory.is_drained('region', view.region)
         )
 
+    def note_duration(self, service: str, seconds: float) -> None:
+        """Tell routing how long a request of `service` held its slot."""
+        self._router.observe_duration(service, seconds)
+
     def note_refusal(self, outcome: Outcome) -> None:
         """Count an outcome that is not `Done`, by reason, for status and metrics."""
         if isinstance(outcome, NotRun | OutcomeUnknown):
             self.refused[outcome.reason.value] += 1
 
     def _find_site(self, caller: str) -> str:
-        if self.blocks is None:
+        if self._blocks is None:
             return ''
-        return self.blocks.find(caller) or ''
+        return self._blocks.find(caller) or ''
 
     def _take_shift(self, shift: Shift) -> bool:
         if not self._fractions.select(shift.id, shift.fraction):
@@ -195,6 +206,10 @@
         return self.shares.take(name_budget(shift))
 
 
+def do_nothing() -> None:
+    """Stand for a listener where there is none."""
+
+
 def drop_members(record: FleetRecord, ids: frozenset[str]) -> FleetRecord:
     """Return `record` without the members that can't serve yet, if any others can."""
     kept = tuple(member for member in record.members if member.id not in ids)
--- a/currantmast/takeover.py
+++ b/currantmast/takeover.py
@@ -2,6 +2,7 @@
 
 from currantmast.clocks import Clock
 from currantmast.decisions.handover import Handover
+from currantmast.decisions.membership import Observer
 from currantmast.decisions.slots import TargetSlots
 from currantmast.deployment import Target
 from currantmast.messages import FleetRecord, Member
@@ -23,14 +24,19 @@
         This instance.
     handover : Handover
         Tells which targets no earlier owner can use.
+    observer : Observer
+        Tells which owners have confirmed that they gave a target up.
     """
 
-    __slots__ = ('_clock', '_handover', '_member')
+    __slots__ = ('_clock', '_handover', '_member', '_observer')
 
-    def __init__(self, clock: Clock, member: Member, handover: Handover) -> None:
+    def __init__(
+        self, clock: Clock, member: Member, handover: Handover, observer: Observer
+    ) -> None:
         self._clock = clock
         self._member = member
         self._handover = handover
+        self._observer = observer
 
     def __repr__(self) -> str:
         """Return the instance that takes over."""
@@ -44,36 +50,53 @@
         """Return the newest earlier owner of `target`, if this instance knows one."""
         return self._handover.get_predecessor(name_target(target), target.region)
 
+    def is_warm(self, target: Target, record: FleetRecord) -> bool:
+        """Return whether another instance has used `target` until now.
+
+        An instance that has just joined knows no earlier owner; the other members of
+        the region owned its targets.
+        """
+        if self.find_predecessor(target) is not None:
+            return True
+        return any(
+            member.region == target.region and member.id != self._member.id
+            for member in record.members
+        )
+
     def hold_for_expired(
-        self, slots: TargetSlots, record: FleetRecord, timeout_s: float
+        self, slots: TargetSlots, record: FleetRecord, since: int, timeout_s: float
     ) -> None:
         """Count all slots as used if an expired owner may have left work behind.
 
+        An owner that confirmed the takeover reports what it still runs instead.
+
         Parameters
         ----------
         slots : TargetSlots
             A target that has just been settled.
         record : FleetRecord
             Record in force.
+        since : int
+            Epoch in which this instance became the owner.
         timeout_s : float
             Longest time in seconds that a request of the service takes.
         """
-        holder = self._find_expired(slots.target, record)
-        if holder is not None:
-            now = self._clock.now()
-            until = now + timeout_s
-            slots.hold(slots.target.slots, until, holder.incarnation, now)
-
-    def _find_expired(self, target: Target, record: FleetRecord) -> Member | None:
-        predecessor = self.find_predecessor(target)
-        if predecessor is None:
-            return self._find_departed(record)
-        runs = {member.incarnation for member in record.members}
-        return None if predecessor.incarnation in runs else predecessor
+        holder = self.find_predecessor(slots.target) or self._find_departed(record)
+        if holder is None:
+            return
+        if self._observer.has_confirmed(holder.id, holder.incarnation, since):
+            return
+        now = self._clock.now()
+        slots.hold(slots.target.slots, now + timeout_s, holder.incarnation, now)
 
     def _find_departed(self, record: FleetRecord) -> Member | None:
-        """Return a former member that may have owned targets of this region."""
+        """Return a former member that may have owned targets of this region.
+
+        A member that was leaving owned none any more, and its successors were told
+        what it still ran.
+        """
         for entry in record.departures:
-            if entry.member.region == self._member.region:
-                return entry.member
+            member = entry.member
+            if member.region == self._member.region and not member.leaving:
+                return member
         return None
--- a/currantmast/target_table.py
+++ b/currantmast/target_table.py
@@ -4,6 +4,7 @@
 
 from currantmast.clocks import Clock
 from currantmast.decisions.handover import Handover
+from currantmast.decisions.membership import Observer
 from currantmast.decisions.ownership import choose_owner
 from currantmast.decisions.slots import TargetSlots
 from currantmast.decisions.target_load import LoadReport
@@ -29,6 +30,8 @@
         This instance.
     handover : Handover
         Tells which targets no earlier owner can use.
+    observer : Observer
+        Tells which owners have confirmed that they gave a target up.
     """
 
     __slots__ = (
@@ -39,18 +42,23 @@
         '_owned',
         '_record',
         '_settled',
+        '_taken',
         '_takeover',
     )
 
-    def __init__(self, clock: Clock, member: Member, handover: Handover) -> None:
+    def __init__(
+        self, clock: Clock, member: Member, handover: Handover, observer: Observer
+    ) -> None:
         self._clock = clock
         self._member = member
-        self._takeover = Takeover(clock, member, handover)
+        self._takeover = Takeover(clock, member, handover, observer)
         self._record = FleetRecord(0)
         self._inventory: Inventory | None = None
         self._owned: dict[str, TargetSlots] = {}
         self._former: dict[str, TargetSlots] = {}
         self._settled: set[str] = set()
+        # Epoch in which each target was taken over, until it is settled.
+        self._taken: dict[str, int] = {}
 
     def __repr__(self) -> str:
         """Return the counts."""
@@ -136,15 +144,17 @@
     def _give_up(self, target_id: str) -> None:
         slots = self._owned.pop(target_id)
         self._settled.discard(target_id)
+        self._taken.pop(target_id, None)
         if slots.count_running():
             self._former[target_id] = slots
 
     def _take_over(self, target: Target) -> None:
         slots = self._former.pop(target.id, None)
         if slots is None:
-            had_owner = self._takeover.find_predecessor(target) is not None
-            slots = TargetSlots(self._clock, target, warm=had_owner)
+            warm = self._takeover.is_warm(target, self._record)
+            slots = TargetSlots(self._clock, target, warm=warm)
         self._owned[target.id] = slots
+        self._taken[target.id] = self._record.epoch
 
     def _follow_drain(self, slots: TargetSlots) -> None:
         if self._inventory.is_target_drained(slots.target):
@@ -159,8 +169,10 @@
         if not self._takeover.is_settled(target):
             return False
         self._settled.add(target.id)
-        timeout_s = self._get_timeout(slots)
-        self._takeover.hold_for_expired(slots, self._record, timeout_s)
+        since = self._taken.pop(target.id, None)
+        if since is not None:
+            timeout_s = self._get_timeout(slots)
+            self._takeover.hold_for_expired(slots, self._record, since, timeout_s)
         return True
 
     def _get_timeout(self, slots: TargetSlots) -> float:
--- a/currantmast/views.py
+++ b/currantmast/views.py
@@ -56,9 +56,11 @@
 
     def note_sent(self, member_id: str, service: str) -> None:
         """Count a request that was sent to `member_id`."""
-        seen = self._seen.get(member_id)
-        if seen is not None:
-            seen.sent[service] = seen.sent.get(service, 0) + 1
+        self._add_sent(member_id, service, 1)
+
+    def note_ended(self, member_id: str, service: str) -> None:
+        """Count the end of a request that was sent to `member_id`."""
+        self._add_sent(member_id, service, -1)
 
     def list_views(self, record: FleetRecord, service: str) -> tuple[OwnerView, ...]:
         """Return the owners of targets of `service` among the members of `record`."""
@@ -69,6 +71,11 @@
         )
         return tuple(view for view in views if view is not None)
 
+    def _add_sent(self, member_id: str, service: str, amount: int) -> None:
+        seen = self._seen.get(member_id)
+        if seen is not None:
+            seen.sent[service] = seen.sent.get(service, 0) + amount
+
     def _make_view(self, member_id: str, region: str, service: str) -> OwnerView | None:
         seen = self._seen.get(member_id)
         capacity = seen and seen.capacity.get(service)
