--- a/currantmast/experiment/runs.py
+++ b/currantmast/experiment/runs.py
@@ -1,5 +1,7 @@
 """One experiment from the start of a fleet to its report."""
 
+import time
+
 import gevent
 import msgspec
 from msgspec.structs import replace
@@ -94,7 +96,9 @@
     """Drain the first target for the rest of the run; return when it was accepted."""
     host = fleet.plan.hosts[0]
     target = host.targets[0].address
-    return Drain(str(target), Operator(fleet).drain(f'target:{target}'))
+    ordered = time.monotonic()
+    accepted = Operator(fleet).drain(f'target:{target}')
+    return Drain(str(target), accepted, ordered=ordered)
 
 
 def make_report(settings: RunSettings, fleet: LocalFleet, history: History) -> Report:
--- a/tests/integration/test_drain.py
+++ b/tests/integration/test_drain.py
@@ -11,7 +11,7 @@
 RATE = 80
 AFTER_S = 4
 BUSY_RATE = 100
-SLOW_FACTOR = 20
+SLOW_FACTOR = 10
 LOOKUPS = (ServiceKind.lookup,)
 
 
