--- a/currantmast/experiment/demo.py
+++ b/currantmast/experiment/demo.py
@@ -14,7 +14,7 @@
 from currantmast.experiment.slopes import SlopeCommands
 
 DEMO_SECONDS = 15
-DEMO_RATE = 120
+DEMO_RATE = 200
 """Calls per second that nine instances and their targets share on one machine of 10 cores."""
 
 EXIT_VIOLATED = 1
--- a/currantmast/experiment/formats.py
+++ b/currantmast/experiment/formats.py
@@ -5,17 +5,19 @@
 
 import shutil
 from collections.abc import Iterator
+from fnmatch import fnmatchcase
 from pathlib import Path
 from typing import Any
 
 import msgspec
 
-from currantmast.deployment import Deployment, ServiceKind, Shift
+from currantmast.deployment import Deployment, Service, Shift
 from currantmast.experiment.controls import Controls
+from currantmast.experiment.instances import InstancePlan
+from currantmast.experiment.links import CONTROL, PEER, STORE, LinkPlan, ProxyPlan
 from currantmast.experiment.plans import (
     FleetPlan,
     HostedTarget,
-    InstancePlan,
     TargetHost,
     digest_key,
 )
@@ -23,11 +25,14 @@
 from currantmast.messages import Address
 from currantmast.standins import executions as logs
 from currantmast.standins.objects import ObjectsSettings
+from currantmast.standins.proxy import ProxySettings
+from currantmast.standins.shaping import LinkFaults, LinkSettings
 from currantmast.standins.targetsettings import TargetSettings, TargetsSettings
 
 STORE_CALL_S = 0.002
 """Time that a call of the object API takes, in seconds; the platform answers in milliseconds."""
 
+MS_PER_S = 1000
 BASE_FILE = 'base.yaml'
 OVERLAYS = 'overlays'
 
@@ -155,10 +160,10 @@
     plan: FleetPlan, host: TargetHost, seed: int
 ) -> TargetsSettings:
     """Return the settings of the process that hosts the targets of `host`."""
-    kinds = {service.id: service.kind for service in plan.deployment.base.services}
+    services = {service.id: service for service in plan.deployment.base.services}
     return TargetsSettings(
         targets=tuple(
-            _make_target(target, kinds[target.service]) for target in host.targets
+            _make_target(target, services[target.service]) for target in host.targets
         ),
         address=host.control,
         seed=seed,
@@ -168,7 +173,12 @@
 
 def make_instance_document(plan: FleetPlan, instance: InstancePlan) -> InstanceDocument:
     """Return the settings of `instance`."""
-    others = (other for other in plan.instances if other.id != instance.id)
+    links = {
+        (link.kind, link.destination): str(link.listen)
+        for link in plan.list_links(instance.id)
+    }
+    others = [other for other in plan.instances if other.id != instance.id]
+    seeds = {other.id: links.get((PEER, other.id), str(other.peer)) for other in others}
     return InstanceDocument(
         id=instance.id,
         region=instance.region,
@@ -176,11 +186,35 @@
         public=str(instance.public),
         peer=str(instance.peer),
         control=str(instance.control),
-        store=str(plan.store),
-        seeds=tuple(str(other.peer) for other in others),
+        store=links.get((STORE, ''), str(plan.store)),
+        seeds=tuple(seeds.values()),
+        address_overrides={
+            name: PeerOverride(seeds[name], links[(CONTROL, name)])
+            for name in seeds
+            if links
+        },
+    )
+
+
+def make_proxy_settings(proxy: ProxyPlan, seed: int) -> ProxySettings:
+    """Return the settings of a fault proxy."""
+    return ProxySettings(
+        links=tuple(_make_link(link) for link in proxy.links),
+        address=proxy.control,
+        seed=seed,
     )
 
 
+def set_link_fault(
+    controls: Controls, proxy: ProxyPlan, pattern: str, fields: dict[str, Any]
+) -> int:
+    """Set fields of the faults of all links that match; return how many there are."""
+    count = sum(fnmatchcase(link.name, pattern) for link in proxy.links)
+    if count:
+        controls.change(proxy.control, f'/links/{pattern}', **fields)
+    return count
+
+
 def make_publication(directory: str, store: Address) -> tuple[str, ...]:
     """Return the command that publishes the deployment in `directory`."""
     return ('publish', directory, f'--store={store}')
@@ -224,11 +258,23 @@
     return ('key', 'withdraw', digest)
 
 
-def _make_target(target: HostedTarget, kind: ServiceKind) -> TargetSettings:
+def _make_link(link: LinkPlan) -> LinkSettings:
+    faults = LinkFaults(delay_ms=link.delay_ms, bandwidth_mbit_s=link.bandwidth_mbit_s)
+    return LinkSettings(
+        name=link.name,
+        upstream=link.upstream,
+        listen=link.listen,
+        channel=link.channel,
+        faults=faults,
+    )
+
+
+def _make_target(target: HostedTarget, service: Service) -> TargetSettings:
     return TargetSettings(
-        service=target.service,
-        kind=kind,
+        service=service.id,
+        kind=service.kind,
         address=target.address,
         slots=target.slots,
         connections=target.connections,
+        median_s=service.typical_ms / MS_PER_S,
     )
--- a/currantmast/experiment/scenarios.py
+++ b/currantmast/experiment/scenarios.py
@@ -7,6 +7,7 @@
 from typing import Self
 
 import gevent
+from loguru import logger
 from msgspec.structs import replace
 
 from currantmast.deployment import Operations
@@ -15,6 +16,12 @@
 from currantmast.experiment.inspection import collect_executions, inspect_history
 from currantmast.experiment.load import Load, LoadShape
 from currantmast.experiment.records import Call, Drain, Execution, History, Withdrawal
+from currantmast.outcomes import Reason
+
+MOST_SHOWN = 20
+"""Calls that are shown when a test fails."""
+
+COMMON_REASONS = frozenset(('', Reason.rate_exceeded, Reason.claims_unavailable))
 
 
 class Scenario:
@@ -62,6 +69,7 @@
     ) -> None:
         """End the load; after a failure show what the processes wrote."""
         if failure is not None:
+            self._show_calls()
             self.fleet.show_outputs()
         gevent.killall(self._running)
         self.load.__exit__(kind, failure, trace)
@@ -115,16 +123,31 @@
             self.history, replace(deployment, operations=self.operations)
         )
 
+    def _show_calls(self) -> None:
+        unusual = [call for call in self.calls if call.reason not in COMMON_REASONS]
+        for call in unusual[:MOST_SHOWN]:
+            logger.error('event=call {}', call)
+
     def _list_executions(self) -> Iterator[Execution]:
         for execution in collect_executions(self.fleet.controls, self.fleet.plan):
             if execution.call_id.startswith(f'{self.name}-'):
                 yield execution
 
 
-def count_unanswered(calls: Iterable[Call]) -> dict[str, int]:
-    """Return how many calls did not end as done, by kind, outcome and reason."""
+def count_unanswered(
+    calls: Iterable[Call], besides: tuple[Reason, ...] = ()
+) -> dict[str, int]:
+    """Return how many calls did not end as done, by kind, outcome and reason.
+
+    Parameters
+    ----------
+    calls : iterable of Call
+        Recorded calls.
+    besides : tuple of Reason
+        Reasons that are not counted.
+    """
     return Counter(
         f'{call.kind} {call.outcome} {call.reason}'
         for call in calls
-        if call.outcome != DONE
+        if call.outcome != DONE and call.reason not in besides
     )
