Follow the new reading of claim logs in the slope commands

Two tests of the slopes failed after the merge: ClaimLog.load no longer takes the last listed sequence. Keeping the old signature was ruled out, since the chain of batches tells the end of the log by itself.

--- a/currantmast/experiment/claimslopes.py
+++ b/currantmast/experiment/claimslopes.py
@@ -68,7 +68,7 @@
 
 def _write_log(size: int, body_bytes: int, clock: ManualClock) -> Iterator[bytes]:
     log = ClaimLog(0, clock, LIFETIME_S, 'region00-00000/0123456789abcdef')
-    log.load((), -1, clock.now())
+    log.load((), clock.now())
     answer = RecordedAnswer.make_done(200, 'application/json', b'x' * body_bytes)
     for first in range(0, size, CLAIMS_PER_BATCH):
         keys = [
@@ -93,7 +93,7 @@
 def _load(bodies: list[bytes], clock: ManualClock) -> ClaimLog:
     batches: list[ClaimBatch] = [decode_batch(body) for body in bodies]
     log = ClaimLog(0, clock, LIFETIME_S)
-    log.load(batches, len(batches) - 1, clock.now())
+    log.load(batches, clock.now())
     return log
 
 
--- a/currantmast/experiment/takeoverslopes.py
+++ b/currantmast/experiment/takeoverslopes.py
@@ -58,7 +58,7 @@
 def _write_log(address: Address, partition: int, size: int) -> None:
     clock = LoopClock()
     log = ClaimLog(partition, clock, LIFETIME_S, 'writer')
-    log.load((), -1, clock.now())
+    log.load((), clock.now())
     with ObjectClient(address, clock, WRITE_CALLS_PER_S, caller='writer') as client:
         batches = BatchStore(client, partition, clock)
         for number in range(size):
