Give each user of a budget a unit before another gets a second

With burst 2, a new user beside one that asked for three times the rate got no token in 60 s, and with burst 10 after 13.5 s; weights alone left it half a unit short. The new test fails without the change for bursts 2 and 10.

--- a/currantmast/decisions/allotment.py
+++ b/currantmast/decisions/allotment.py
@@ -106,8 +106,8 @@
     A burst below one unit can never admit a request, so burst is allotted in whole
     units, and rate only where there is at least one unit. With at least two units
     for each holder, each has one, with an equal part of the floor. With fewer, units
-    go where the demand is; demand that waits gains weight, so that units go round
-    when there are more users than units. Idle units return to the owner, which
+    go where the demand is, one to each user before a second to any; demand that waits
+    gains weight, so that units go round when there are more users than units. Idle units return to the owner, which
     hands them out again with the tokens that they have gathered.
 
     Under the ``plain`` policy all shares are equal, whatever the demand; units that
@@ -139,17 +139,27 @@
 
 
 def _choose_units(terms: Terms, wants: Wants) -> dict[MemberKey, int]:
-    base = 1 if terms.units >= 2 * len(wants) else 0
     idle_limit = IDLE_FRACTION * terms.rate / len(wants)
     wait_s = max(WAIT_WEIGHT_S, WAIT_WEIGHT_REFILLS * terms.refill_s)
     weights = {
         key: _weigh(want, wait_s) if want.demand > idle_limit else 0
         for key, want in wants.items()
     }
+    first = _choose_first(terms.units, weights)
+    spare = terms.units - len(first)
     users = sum(weight > 0 for weight in weights.values())
-    spare = terms.units - base * len(wants)
-    spare -= _choose_reserve(terms.units, spare - users)
-    return {key: base + more for key, more in divide_units(spare, weights).items()}
+    spare -= _choose_reserve(terms.units, terms.units - max(users, len(first)))
+    more = divide_units(max(0, spare), weights)
+    return {key: more[key] + (key in first) for key in wants}
+
+
+def _choose_first(units: int, weights: Mapping[MemberKey, float]) -> set[MemberKey]:
+    """Return who gets a unit before anyone gets a second: all, or the users."""
+    if units >= 2 * len(weights):
+        return set(weights)
+    users = [key for key, weight in weights.items() if weight > 0]
+    users.sort(key=lambda key: (-weights[key], key))
+    return set(users[:units])
 
 
 def _choose_reserve(units: int, unused: int) -> int:
--- a/tests/test_ledgers.py
+++ b/tests/test_ledgers.py
@@ -214,6 +214,15 @@
         assert exchange.shares['i7'].take('x'), (rate, burst)
 
 
+@pytest.mark.parametrize(('rate', 'burst'), [(2, 2), (10, 10), (100, 50)])
+def test_new_user_gets_tokens_while_another_uses_all(rate, burst):
+    # Guards against a user that starves beside one that asks for far more.
+    exchange = Exchange(rate, burst)
+    exchange.run(20, {'i0': 3 * rate})
+    admitted = exchange.run(6, {'i0': 3 * rate, 'i7': 2})
+    assert admitted['i7'] >= 1
+
+
 def test_shares_follow_demand_and_stay():
     exchange = Exchange(100, 50)
     exchange.run(20, {'i0': 15, 'i1': 5})
