--- a/currantmast/budget_owner.py
+++ b/currantmast/budget_owner.py
@@ -5,6 +5,7 @@
 from currantmast.clocks import Clock
 from currantmast.decisions.budgets import ShareHolder
 from currantmast.decisions.handover import Handover, must_reopen
+from currantmast.decisions.leases import lists_incarnation
 from currantmast.decisions.ledgers import Ledger
 from currantmast.decisions.links import CHUNK_BYTES
 from currantmast.decisions.membership import Observer
@@ -88,7 +89,10 @@
                 ledger.resize(budget.rate, budget.burst)
 
     def observe_heartbeat(self, heartbeat: Heartbeat) -> None:
-        """Note the shares and demands that a holder reports."""
+        """Note the shares and demands that a listed holder reports."""
+        sender = heartbeat.sender
+        if not lists_incarnation(self._record, sender, heartbeat.incarnation):
+            return
         held = {share.budget: share for share in heartbeat.shares}
         demands = {demand.budget: demand.rate for demand in heartbeat.demands}
         for name, ledger in self._ledgers.items():
--- a/currantmast/decisions/allotment.py
+++ b/currantmast/decisions/allotment.py
@@ -106,8 +106,8 @@
     A burst below one unit can never admit a request, so burst is allotted in whole
     units, and rate only where there is at least one unit. With at least two units
     for each holder, each has one, with an equal part of the floor. With fewer, units
-    go where the demand is; demand that waits gains weight, so that units go round
-    when there are more users than units. Idle units return to the owner, which
+    go where the demand is, one to each user before a second to any; demand that waits
+    gains weight, so that units go round when there are more users than units. Idle units return to the owner, which
     hands them out again with the tokens that they have gathered.
 
     Under the ``plain`` policy all shares are equal, whatever the demand; units that
@@ -139,17 +139,27 @@
 
 
 def _choose_units(terms: Terms, wants: Wants) -> dict[MemberKey, int]:
-    base = 1 if terms.units >= 2 * len(wants) else 0
     idle_limit = IDLE_FRACTION * terms.rate / len(wants)
     users = {key: want for key, want in wants.items() if want.demand > idle_limit}
     weights = _weigh_users(terms, users)
-    if base:
+    first = _choose_first(terms.units, wants, weights)
+    if len(first) == len(wants):
         spread = _count_unused(terms, wants) / len(wants)
         weights = {key: spread + weights.get(key, 0) for key in wants}
-    spare = terms.units - base * len(wants)
+    spare = terms.units - len(first)
     spare -= _choose_reserve(terms.units, spare - len(users))
-    more = divide_units(spare, weights)
-    return {key: base + more.get(key, 0) for key in wants}
+    more = divide_units(max(0, spare), weights)
+    return {key: more.get(key, 0) + (key in first) for key in wants}
+
+
+def _choose_first(
+    units: int, wants: Wants, weights: Mapping[MemberKey, float]
+) -> set[MemberKey]:
+    """Return who gets a unit before anyone gets a second: all, or the users."""
+    if units >= 2 * len(wants):
+        return set(wants)
+    users = sorted(weights, key=lambda key: (-weights[key], key))
+    return set(users[:units])
 
 
 def _weigh_users(terms: Terms, users: Wants) -> dict[MemberKey, float]:
--- a/currantmast/runtime/following.py
+++ b/currantmast/runtime/following.py
@@ -24,7 +24,9 @@
 from currantmast.runtime.store import ObjectClient
 from currantmast.steering import Steering
 
-WATCH_S = 20.0
+# Witnesses that were removed together learn it from the store alone, so the watch of
+# a connection that went silent must end within a few seconds.
+WATCH_S = 4.0
 POLL_S = 1.0
 BACKOFF_S = 0.5
 PEER_TIMEOUT_S = 2.0
--- a/currantmast/steering.py
+++ b/currantmast/steering.py
@@ -11,8 +11,8 @@
 from currantmast.decisions.quarantine import Quarantine
 from currantmast.decisions.retries import RetryBudget
 from currantmast.decisions.routing import OwnerView, Route, Router, RouteRequest, Score
-from currantmast.decisions.shifts import FractionCounter, choose_region, name_budget
-from currantmast.deployment import Configuration, PolicyKind, Shift, Timing
+from currantmast.decisions.shifts import ShiftGate, choose_region
+from currantmast.deployment import Configuration, PolicyKind, Timing
 from currantmast.directory import Directory, LookupAnswer
 from currantmast.inventory import Inventory
 from currantmast.messages import FleetRecord, Heartbeat, Member
@@ -76,7 +76,7 @@
         self._router: Router | None = None
         self._directory: Directory | None = None
         self._unready: frozenset[str] = frozenset()
-        self._fractions = FractionCounter()
+        self._shift_gate = ShiftGate(self.shares.take)
         # Called when peers should hear of a change before the next heartbeat is due.
         self.notify: Callable[[], None] = do_nothing
 
@@ -157,7 +157,9 @@
         if not use_shift:
             return Origin(site, home, home)
         shifts = self.inventory.list_shifts(site)
-        return Origin(site, home, choose_region(home, site, shifts, self._take_shift))
+        return Origin(
+            site, home, choose_region(home, site, shifts, self._shift_gate.may_move)
+        )
 
     def find_instances(self, caller: str, origin: Origin) -> LookupAnswer:
         """Return the instances that `caller` should use, best first."""
@@ -200,11 +202,6 @@
             return ''
         return self._blocks.find(caller) or ''
 
-    def _take_shift(self, shift: Shift) -> bool:
-        if not self._fractions.select(shift.id, shift.fraction):
-            return False
-        return self.shares.take(name_budget(shift))
-
 
 def do_nothing() -> None:
     """Stand for a listener where there is none."""
