Move stalled idempotent work and claims to new connections

Cause: six seconds after all links had gone silent, orders were still refused as claims_unavailable: a claim waited its whole time on a pooled connection that had gone silent, and the next one took another silent connection. Change: a broken or stalled exchange closes the idle connections to that address; a claim waits at most 0.8 s for one answer; the first attempt of idempotent work gets half of the time left.

--- a/currantmast/runtime/claiming.py
+++ b/currantmast/runtime/claiming.py
@@ -28,7 +28,10 @@
 
 CLAIMS_PATH = '/claims'
 ATTEMPT_BYTES = 6
-MAX_WAIT_S = 2.0
+MAX_WAIT_S = 2.5
+# Longest wait for one answer; the next call takes a new connection, should the pooled
+# one have gone silent.
+CALL_TIMEOUT_S = 0.8
 CLAIM_PAUSE_S = 0.1
 FOLLOW_PERIOD_S = 0.25
 NOTICE_ATTEMPTS = 5
@@ -194,7 +197,7 @@
             token = f'{work.request_id}.{secrets.token_hex(ATTEMPT_BYTES)}'
             attempt = Attempt(key, token)
             remaining_s = give_up_at - clock.now()
-            result = self._claim_at_owner(attempt, remaining_s)
+            result = self._claim_at_owner(attempt, min(remaining_s, CALL_TIMEOUT_S))
             is_open = isinstance(result, Unavailable | InProgress)
             if not is_open or remaining_s < 2 * CLAIM_PAUSE_S:
                 return attempt, result
--- a/currantmast/runtime/entry.py
+++ b/currantmast/runtime/entry.py
@@ -45,6 +45,8 @@
 REQUEST_ID_BYTES = 8
 LINK_POLL_S = 0.01
 RATE_POLL_S = 0.02
+FIRST_ATTEMPT_PART = 0.5
+MIN_RETRY_S = 0.05
 # Requests of one instance that may wait for their team's share at once.
 MAX_RATE_WAITERS = 64
 # Bytes of a request line and headers, counted against a link besides the body.
@@ -235,27 +237,30 @@
     def _attempt(self, trip: Trip, route: Route) -> WorkAnswer:
         clock = self._steering.clock
         started = clock.now()
+        work = limit_attempt(trip, started)
         if route.owner_id == self._steering.member.id:
-            answer = self._owner.run(trip.work)
+            answer = self._owner.run(work)
         else:
-            answer = self._send(trip, route)
+            answer = self._send(trip, work, route)
         if isinstance(answer.outcome, Done):
-            self._steering.note_duration(trip.work.service.id, clock.now() - started)
-        return answer
+            self._steering.note_duration(work.service.id, clock.now() - started)
+        time_left_s = trip.work.deadline_at - clock.now()
+        return _mark_stalled(answer, time_left_s)
 
-    def _send(self, trip: Trip, route: Route) -> WorkAnswer:
+    def _send(self, trip: Trip, work: Work, route: Route) -> WorkAnswer:
         address = self._find_peer(route.owner_id)
         if address is None:
             return WorkAnswer(NotRun(Reason.unreachable, 'the peer has left'))
-        service = trip.work.service.id
+        service = work.service.id
         self._steering.views.note_sent(route.owner_id, service)
         try:
-            return self._forward(trip, route, address)
+            return self._forward(trip, work, route, address)
         finally:
             self._steering.views.note_ended(route.owner_id, service)
 
-    def _forward(self, trip: Trip, route: Route, address: Address) -> WorkAnswer:
-        work = trip.work
+    def _forward(
+        self, trip: Trip, work: Work, route: Route, address: Address
+    ) -> WorkAnswer:
         remaining_s = min(
             work.deadline_at - self._steering.clock.now(), route.timeout_s
         )
@@ -264,16 +269,15 @@
             with LinkReservation(
                 self._steering.shares, member.region, route.region
             ) as link:
-                request = self._make_hop(trip, link, remaining_s)
+                request = self._make_hop(trip, work, link, remaining_s)
                 answer = self._connections.exchange(address, request, remaining_s)
         except (LinkFull, BodyBroken, TransportError) as error:
             return WorkAnswer(_explain_failure(error, trip))
         return decode_answer(answer, work.request_id)
 
     def _make_hop(
-        self, trip: Trip, link: LinkReservation, remaining_s: float
+        self, trip: Trip, work: Work, link: LinkReservation, remaining_s: float
     ) -> HopRequest:
-        work = trip.work
         self._reserve(link, HEAD_BYTES, work.deadline_at)
         if isinstance(work.body, bytes):
             self._reserve_all(link, work.length, work.deadline_at)
@@ -359,6 +363,29 @@
         )
 
 
+def limit_attempt(trip: Trip, now: float) -> Work:
+    """Return the work of `trip` with the deadline of its next attempt.
+
+    The first attempt of idempotent work gets half of the time left, so that another
+    one can follow on a new connection when the first makes no progress.
+    """
+    work = trip.work
+    if not work.service.idempotent or trip.tried:
+        return work
+    attempt_s = (work.deadline_at - now) * FIRST_ATTEMPT_PART
+    return msgspec.structs.replace(work, deadline_at=now + attempt_s)
+
+
+def _mark_stalled(answer: WorkAnswer, time_left_s: float) -> WorkAnswer:
+    """Return `answer`, as a lost connection if only its attempt ran out of time."""
+    outcome = answer.outcome
+    if not isinstance(outcome, OutcomeUnknown) or time_left_s < MIN_RETRY_S:
+        return answer
+    if outcome.reason is not Reason.deadline:
+        return answer
+    return WorkAnswer(OutcomeUnknown(Reason.connection_lost, 'no progress'))
+
+
 def make_route_request(work: Work, trip: Trip, steering: Steering) -> RouteRequest:
     """Return what routing needs to know of `trip`."""
     return RouteRequest(
--- a/currantmast/runtime/forwarding.py
+++ b/currantmast/runtime/forwarding.py
@@ -118,7 +118,11 @@
             with Timeout(remaining, ProgressTimeout('deadline')):
                 answer, reusable = self._converse(sock, request)
         except (OSError, HTTPParseError) as error:
+            self._connection_pool.drop_idle()
             raise _classify(error) from error
+        except ProgressTimeout:
+            self._connection_pool.drop_idle()
+            raise
         finally:
             self._connection_pool.settle_socket(sock, reusable and not request.fresh)
         return answer
@@ -189,6 +193,15 @@
         else:
             self.release_socket(sock)
 
+    def drop_idle(self) -> None:
+        """Close the idle connections.
+
+        When one connection breaks or goes silent, something between the ends may have
+        lost track of the others as well.
+        """
+        while not self._socket_queue.empty():
+            self._socket_queue.get(block=False).close()
+
     def _replace_socket(self) -> Socket:
         self._semaphore.acquire()
         try:
