Keep the claim log in segments

Cause: one object for each batch made a new owner read thousands of objects, one call each, so orders were refused after each change of ownership. Claims have an object client with a call budget of their own.

Ruled out: relying on ownership for the place of an append. Whether a segment is full follows from its content alone, so the store still decides between owners.

--- a/currantmast/decisions/claimrecords.py
+++ b/currantmast/decisions/claimrecords.py
@@ -96,7 +96,7 @@
 
 
 class ClaimBatch(msgspec.Struct, frozen=True, array_like=True):
-    """One object of the log.
+    """Operations that were appended to the log at once.
 
     Parameters
     ----------
@@ -124,44 +124,11 @@
         """Text that no other batch shares."""
         return f'{self.writer}/{self.number}'
 
-    @property
-    def name(self) -> str:
-        """Name of the object."""
-        return name_batch(self.partition, self.sequence)
-
 
 class BatchRejected(CurrantmastError):
     """An object of the claim log can't be decoded."""
 
 
-_encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(ClaimBatch)
-
-
 def name_partition(partition: int) -> str:
     """Return the prefix of a partition's objects."""
     return f'claims/{partition:02}/'
-
-
-def name_batch(partition: int, sequence: int) -> str:
-    """Return the name of a batch; names sort like sequence numbers."""
-    return f'{name_partition(partition)}{sequence:012}'
-
-
-def encode_batch(batch: ClaimBatch) -> bytes:
-    """Return `batch` as MessagePack."""
-    return _encoder.encode(batch)
-
-
-def decode_batch(body: bytes) -> ClaimBatch:
-    """Return the batch in `body`.
-
-    Raises
-    ------
-    BatchRejected
-        If `body` is no batch.
-    """
-    try:
-        return _decoder.decode(body)
-    except msgspec.MsgspecError as error:
-        raise BatchRejected(str(error)) from error
--- a/currantmast/decisions/claims.py
+++ b/currantmast/decisions/claims.py
@@ -5,7 +5,11 @@
 import msgspec
 
 from currantmast.clocks import Clock
-from currantmast.decisions.claimchains import STALE_AFTER_S, BatchChain
+from currantmast.decisions.claimchains import (
+    STALE_AFTER_S,
+    BatchChain,
+    SegmentAge,
+)
 from currantmast.decisions.claimkeys import ClaimKey, check_age, get_usable_s
 from currantmast.decisions.claimrecords import (
     Answered,
@@ -17,9 +21,22 @@
     Repeated,
     Unavailable,
 )
+from currantmast.decisions.claimsegments import (
+    SEGMENT_BYTES,
+    Segment,
+    SegmentUpdate,
+    plan_update,
+)
 from currantmast.decisions.claimtables import ClaimTable, Decision, OperationQueue
 from currantmast.outcomes import NotRun
 
+# A log is read again this long after the last read, so that it stays current while it
+# is used and no batch on its way becomes stale.
+REFRESH_AFTER_S = STALE_AFTER_S / 2
+# It is read again this soon if a claim was refused as in progress: a previous owner may
+# have written the answer since.
+DOUBTFUL_AFTER_S = 1.0
+
 
 class Pending(msgspec.Struct, frozen=True):
     """The claim waits for its batch; `ClaimLog.commit` decides it."""
@@ -42,10 +59,10 @@
 class ClaimLog:
     """Log of one partition, as its owner sees it.
 
-    The store keeps one object for each batch, created only if absent. Whoever commits
-    the batch of a sequence number has read all batches before it, and the first claim
-    of a key in the log holds it, so at most one attempt is told that it is fresh.
-    Safety does not depend on who owns the partition.
+    A batch is appended by a conditional update of the newest segment, which names the
+    version read or written last. Whoever commits a batch has therefore read all batches
+    before it, and the first claim of a key in the log holds it, so at most one attempt
+    is told that it is fresh. Safety does not depend on who owns the partition.
 
     Parameters
     ----------
@@ -56,28 +73,37 @@
     lifetime_s : float
         Lifetime of claims in seconds.
     writer : str
-        Instance and incarnation of this owner; makes its batches unique.
+        Text that no other log object uses; makes its batches unique.
+    segment_bytes : int
+        Size in bytes from which a segment is full; the same for all owners.
 
     Attributes
     ----------
     chain : BatchChain
-        Sequence numbers of the batches.
+        Order of the batches, and the newest segment.
     """
 
     __slots__ = (
         '_clock',
         '_current',
+        '_doubtful',
         '_identity',
         '_lifetime_s',
         '_made',
         '_queue',
         '_read_at',
+        '_segment_bytes',
         '_table',
         'chain',
     )
 
     def __init__(
-        self, partition: int, clock: Clock, lifetime_s: float, writer: str = ''
+        self,
+        partition: int,
+        clock: Clock,
+        lifetime_s: float,
+        writer: str = '',
+        segment_bytes: int = SEGMENT_BYTES,
     ) -> None:
         self._identity = LogIdentity(partition, writer)
         self._clock = clock
@@ -85,8 +111,10 @@
         self.chain = BatchChain(clock, lifetime_s)
         self._table = ClaimTable()
         self._queue = OperationQueue()
+        self._segment_bytes = segment_bytes
         self._made = 0
         self._current = False
+        self._doubtful = False
         self._read_at = clock.now()
 
     def __repr__(self) -> str:
@@ -101,25 +129,38 @@
         age_s = self._clock.now() - self._read_at
         return self._current and age_s < STALE_AFTER_S
 
+    def is_due(self) -> bool:
+        """Return whether the log should be read before it is used further."""
+        age_s = self._clock.now() - self._read_at
+        limit_s = DOUBTFUL_AFTER_S if self._doubtful else REFRESH_AFTER_S
+        return not self._current or age_s >= limit_s
+
     def has_work(self) -> bool:
         """Return whether operations wait to be written."""
         return len(self._queue) > 0
 
-    def load(self, batches: Iterable[ClaimBatch], read_at: float) -> None:
+    def load(self, segments: Iterable[Segment], read_at: float) -> None:
         """Take in what the store holds; claims can then be decided.
 
+        A read that took too long is ignored: what was listed may have been deleted
+        and created again by a late write before it was fetched.
+
         Parameters
         ----------
-        batches : iterable of ClaimBatch
-            Batches from ``chain.next_sequence`` on, in any order. The one with the highest
-            sequence number that was listed must be among them.
+        segments : iterable of Segment
+            Segments from ``chain.newest`` on, in any order. The one with the highest
+            number that was listed must be among them, unless it is ``chain.newest``
+            with the same version.
         read_at : float
             Monotonic time in seconds when the listing began.
         """
-        for batch in self.chain.select(batches):
-            self._take_in(batch)
+        if self._clock.now() - read_at >= STALE_AFTER_S:
+            return
+        for batch in self.chain.extend(segments):
+            self._table.apply(batch.operations)
         self._read_at = read_at
         self._current = True
+        self._doubtful = False
 
     def claim(
         self, claim_key: ClaimKey, attempt: str
@@ -139,6 +180,7 @@
         digest = claim_key.digest
         decision = self._table.decide(digest)
         if decision is not None:
+            self._doubtful |= isinstance(decision, InProgress)
             return decision
         if self._queue.has_claim(digest):
             return InProgress()
@@ -161,10 +203,10 @@
         if not self._queue.withdraw(Claimed(digest, attempt, issued_at)):
             self._queue.add(Released(digest, attempt, issued_at))
 
-    def make_batch(self) -> ClaimBatch | None:
-        """Return the next batch to create in the store if absent.
+    def make_update(self) -> SegmentUpdate | None:
+        """Return the next update to make in the store.
 
-        None if nothing waits, a batch is on its way, or the log must be read first.
+        None if nothing waits, an update is on its way, or the log must be read first.
         """
         if not self.is_current():
             return None
@@ -172,7 +214,7 @@
         if not operations:
             return None
         self._made += 1
-        return ClaimBatch(
+        batch = ClaimBatch(
             partition=self._identity.partition,
             sequence=self.chain.next_sequence,
             writer=self._identity.writer,
@@ -180,16 +222,19 @@
             previous=self.chain.last_identity,
             operations=operations,
         )
+        return plan_update(self.chain.newest, batch, self._segment_bytes)
 
-    def commit(self, batch: ClaimBatch) -> tuple[Decided, ...]:
-        """Take in `batch`, which is now in the store; return what its claims are.
+    def commit(self, update: SegmentUpdate) -> tuple[Decided, ...]:
+        """Take in `update`, which is now in the store; return what its claims are.
 
-        Nothing is decided if the batch took too long: the log must be read first.
+        Nothing is decided if the update took too long: the log must be read first.
         """
+        batch = update.batch
         if not self.is_current() or batch.sequence != self.chain.next_sequence:
-            self.reject(batch)
+            self.reject()
             return ()
-        self._take_in(batch)
+        self._table.apply(batch.operations)
+        self.chain.append(batch, update.segment)
         self._queue.finish()
         claims = [one for one in batch.operations if isinstance(one, Claimed)]
         # The owner may have paused since it accepted a claim; the batch with an
@@ -199,19 +244,15 @@
             Decided(one, self._table.conclude(one, expired_before)) for one in claims
         )
 
-    def reject(self, batch: ClaimBatch) -> None:
-        """Keep the operations of `batch`, which is not known to be in the store.
+    def reject(self) -> None:
+        """Keep the operations of an update that is not known to be in the store.
 
         All is undecided until the log has been read again.
         """
         self._queue.restore()
         self._current = False
 
-    def list_obsolete(self) -> tuple[int, ...]:
-        """Return the sequence numbers that may be deleted, to delete in this order."""
+    def list_obsolete(self) -> tuple[SegmentAge, ...]:
+        """Return the segments that may be deleted, to delete in this order."""
         self._table.drop_before(self._clock.wall() - self._lifetime_s)
         return self.chain.list_obsolete()
-
-    def _take_in(self, batch: ClaimBatch) -> None:
-        self._table.apply(batch.operations)
-        self.chain.append(batch)
--- a/currantmast/runtime/claims.py
+++ b/currantmast/runtime/claims.py
@@ -5,36 +5,24 @@
 
 import msgspec
 from gevent.event import AsyncResult, Event
-from gevent.pool import Pool
 
 from currantmast.clocks import Clock
 from currantmast.decisions.claimkeys import ClaimKey
-from currantmast.decisions.claimrecords import (
-    ClaimBatch,
-    RecordedAnswer,
-    Unavailable,
-    decode_batch,
-    encode_batch,
-    name_batch,
-    name_partition,
-)
+from currantmast.decisions.claimrecords import RecordedAnswer, Unavailable
 from currantmast.decisions.claims import ClaimLog, Decision, Pending
-from currantmast.errors import CurrantmastError, StoreBudgetExceeded, StoreConflict
+from currantmast.decisions.claimsegments import SegmentUpdate
+from currantmast.errors import CurrantmastError, StoreConflict
 from currantmast.outcomes import NotRun
+from currantmast.runtime.claimstore import SegmentStore
 from currantmast.runtime.logs import log_event
-from currantmast.runtime.store import ObjectClient, StoredObject
+from currantmast.runtime.store import ObjectClient
 from currantmast.runtime.supervisor import Supervisor
 
 # An idle partition reads its log this often, so that a first claim need not wait.
 IDLE_S = 10.0
-CLEANING_S = 5.0
 FIRST_RETRY_S = 0.1
 LAST_RETRY_S = 2.0
-BUDGET_WAIT_S = 0.02
-CONCURRENT_READS = 8
-# Obsolete batches deleted in one round, so that deletions don't delay claims.
-DELETES_PER_ROUND = 100
-CREATED_VERSION = 1
+RETIRED = 'the partition has another owner'
 
 ClaimResult = Decision | NotRun
 
@@ -45,7 +33,7 @@
     Parameters
     ----------
     writer : str
-        Instance and incarnation.
+        Instance and incarnation, and the ownership; never used twice.
     lifetime_s : float
         Lifetime of claims in seconds.
     batch_s : float
@@ -57,98 +45,6 @@
     batch_s: float = 0.1
 
 
-class BatchStore:
-    """Batches of one partition in the object API.
-
-    Parameters
-    ----------
-    store : ObjectClient
-        Client of the object API.
-    partition : int
-        Number of the partition.
-    clock : Clock
-        Clock to wait by while the call budget is used up.
-    """
-
-    __slots__ = ('_cleaned_at', '_clock', '_partition', '_store')
-
-    def __init__(self, store: ObjectClient, partition: int, clock: Clock) -> None:
-        self._store = store
-        self._partition = partition
-        self._clock = clock
-        self._cleaned_at = clock.now()
-
-    def __repr__(self) -> str:
-        """Return the prefix of the objects."""
-        return f'<BatchStore {name_partition(self._partition)}>'
-
-    def read_into(self, log: ClaimLog) -> None:
-        """Read the batches that `log` has not seen; it is current if that succeeds.
-
-        Raises
-        ------
-        StoreError
-            If the store can't be read.
-        BatchRejected
-            If an object is no batch.
-        """
-        read_at = self._clock.now()
-        after = name_batch(self._partition, log.chain.next_sequence - 1)
-        if log.chain.next_sequence == 0:
-            after = ''
-        prefix = name_partition(self._partition)
-        names = [entry.name for entry in self._store.list(prefix, after).entries]
-        found = Pool(CONCURRENT_READS).map(self._fetch, names)
-        if names and found[-1] is None:
-            # Newer batches were appended and the last one deleted meanwhile.
-            return
-        batches = (decode_batch(stored.body) for stored in found if stored)
-        log.load(batches, read_at)
-
-    def create(self, batch: ClaimBatch) -> None:
-        """Create the object of `batch` if absent.
-
-        Raises
-        ------
-        StoreConflict
-            If there is one; `batch` was not written.
-        StoreError
-            If `batch` may not have been written.
-        """
-        self._store.put(batch.name, encode_batch(batch), 0)
-
-    def clean(self, log: ClaimLog) -> None:
-        """Delete some of the obsolete batches of `log`, every now and then.
-
-        Raises
-        ------
-        StoreError
-            If the store did not answer.
-        """
-        now = self._clock.now()
-        if now - self._cleaned_at < CLEANING_S:
-            return
-        self._cleaned_at = now
-        for sequence in log.list_obsolete()[:DELETES_PER_ROUND]:
-            self._delete(sequence)
-            log.chain.forget(sequence)
-
-    def _delete(self, sequence: int) -> None:
-        name = name_batch(self._partition, sequence)
-        try:
-            self._store.delete(name, CREATED_VERSION)
-        except StoreConflict as conflict:
-            # Another owner has deleted it.
-            log_event('batch_absent', level='DEBUG', error=conflict)
-
-    def _fetch(self, name: str) -> StoredObject | None:
-        while True:
-            try:
-                return self._store.get(name)
-            except StoreBudgetExceeded:
-                self._clock.sleep(BUDGET_WAIT_S)
-
-
 class _Waiters:
     """Callers that wait for their claims to be decided."""
 
@@ -195,12 +91,12 @@
     """
 
     __slots__ = (
-        '_batches',
         '_clock',
         '_down',
         '_log',
         '_read_done',
         '_retired',
+        '_segments',
         '_settings',
         '_waiters',
         '_wake',
@@ -217,7 +113,7 @@
         self._clock = clock
         self._settings = settings
         self._log = ClaimLog(partition, clock, settings.lifetime_s, settings.writer)
-        self._batches = BatchStore(store, partition, clock)
+        self._segments = SegmentStore(store, partition, clock)
         self._waiters = _Waiters()
         self._wake = Event()
         self._read_done = Event()
@@ -232,20 +128,20 @@
     def claim(self, claim_key: ClaimKey, attempt: str, timeout_s: float) -> ClaimResult:
         """Claim a key for one attempt; wait up to `timeout_s` seconds.
 
-        The attempt is given up if no decision comes in time.
+        While a new owner reads the log, claims wait. The attempt is given up if no
+        decision comes in time.
         """
+        give_up_at = self._clock.now() + timeout_s
+        self._await_read(give_up_at)
         if self._down or self._retired:
-            return Unavailable(self._down or 'the partition has another owner')
-        if not self._log.is_current():
-            self._read_done.clear()
-            self._wake.set()
-            self._read_done.wait(timeout_s)
+            return Unavailable(self._down or RETIRED)
         decided = self._log.claim(claim_key, attempt)
+        if isinstance(decided, Pending) or self._log.is_due():
+            self._wake.set()
         if not isinstance(decided, Pending):
             return decided
-        self._wake.set()
         with self._await_decision(claim_key, attempt) as waiter:
-            waiter.wait(timeout_s)
+            waiter.wait(max(0, give_up_at - self._clock.now()))
             return waiter.get() if waiter.ready() else Unavailable('timeout')
 
     def record(self, claim_key: ClaimKey, attempt: str, answer: RecordedAnswer) -> None:
@@ -261,6 +157,7 @@
     def retire(self) -> None:
         """Refuse new claims; `run` returns once all is written."""
         self._retired = True
+        self._read_done.set()
         self._wake.set()
 
     def run(self) -> None:
@@ -282,39 +179,49 @@
             self._wake.wait(IDLE_S)
         self._wake.clear()
 
+    def _await_read(self, give_up_at: float) -> None:
+        """Wait until the log is current, unless the store is down or the task retired."""
+        while not (self._log.is_current() or self._down or self._retired):
+            remaining_s = give_up_at - self._clock.now()
+            if remaining_s <= 0:
+                return
+            self._read_done.clear()
+            self._wake.set()
+            self._read_done.wait(remaining_s)
+
     def _work(self) -> None:
-        if not self._log.is_current():
-            self._batches.read_into(self._log)
+        if self._log.is_due():
+            self._segments.read_into(self._log)
         self._down = ''
         self._read_done.set()
         self._append()
-        self._batches.clean(self._log)
+        self._segments.clean(self._log)
 
     def _append(self) -> None:
         if not self._log.has_work():
             return
         pause_s = self._written_at + self._settings.batch_s - self._clock.now()
         self._clock.sleep(max(0, pause_s))
-        batch = self._log.make_batch()
-        if batch is not None:
+        update = self._log.make_update()
+        if update is not None:
             self._written_at = self._clock.now()
-            self._write(batch)
+            self._write(update)
 
-    def _write(self, batch: ClaimBatch) -> None:
+    def _write(self, update: SegmentUpdate) -> None:
         try:
-            self._batches.create(batch)
+            self._segments.write(update)
         except StoreConflict as conflict:
             # Another owner appended first: read its batches, then try again.
             log_event('claim_conflict', error=conflict)
-            self._log.reject(batch)
+            self._log.reject()
         except Exception:
-            self._log.reject(batch)
+            self._log.reject()
             raise
         else:
-            self._tell(batch)
+            self._tell(update)
 
-    def _tell(self, batch: ClaimBatch) -> None:
-        for decided in self._log.commit(batch):
+    def _tell(self, update: SegmentUpdate) -> None:
+        for decided in self._log.commit(update):
             claimed = decided.claimed
             self._waiters.decide(claimed.digest, claimed.attempt, decided.decision)
 
@@ -358,7 +265,14 @@
         Keeps the partitions' tasks running.
     """
 
-    __slots__ = ('_clock', '_settings', '_store', '_supervisor', '_tasks')
+    __slots__ = (
+        '_adopted',
+        '_clock',
+        '_settings',
+        '_store',
+        '_supervisor',
+        '_tasks',
+    )
 
     def __init__(
         self,
@@ -372,6 +286,7 @@
         self._settings = settings
         self._supervisor = supervisor
         self._tasks: dict[int, PartitionTask] = {}
+        self._adopted = 0
 
     def __repr__(self) -> str:
         """Return the owned partitions."""
@@ -382,7 +297,7 @@
         for lost in set(self._tasks) - owned:
             self._tasks.pop(lost).retire()
         for won in sorted(owned - set(self._tasks)):
-            task = PartitionTask(won, self._store, self._clock, self._settings)
+            task = self._make_task(won)
             self._tasks[won] = task
             self._supervisor.add(f'claims-{won}', task.run)
 
@@ -405,7 +320,7 @@
         """
         task = self._tasks.get(claim_key.partition)
         if task is None:
-            return Unavailable('the partition has another owner')
+            return Unavailable(RETIRED)
         return task.claim(claim_key, attempt, timeout_s)
 
     def record(self, claim_key: ClaimKey, attempt: str, answer: RecordedAnswer) -> bool:
@@ -421,3 +336,11 @@
         if task is not None:
             task.release(claim_key, attempt)
         return task is not None
+
+    def _make_task(self, partition: int) -> PartitionTask:
+        # A partition may return while its retired task still writes. The two number
+        # their batches from 1, so each needs a writer of its own.
+        self._adopted += 1
+        writer = f'{self._settings.writer}/{self._adopted}'
+        settings = msgspec.structs.replace(self._settings, writer=writer)
+        return PartitionTask(partition, self._store, self._clock, settings)
--- a/currantmast/runtime/process.py
+++ b/currantmast/runtime/process.py
@@ -79,6 +79,12 @@
                 settings.store, clock, settings.store_calls_per_s, caller=settings.id
             )
         )
+        # Claims have calls of their own, so that a handover starves no watch or lease.
+        claim_client = open_context(
+            ObjectClient(
+                settings.store, clock, settings.claim_calls_per_s, caller=settings.id
+            )
+        )
         timing = configuration.deployment.base.timing
         self._steering = Steering(clock, self._make_member(), timing)
         self._steering.adopt_configuration(configuration)
@@ -87,7 +93,7 @@
             self._steering, self._client, self._fleet, self._connections
         )
         self._claims = ClaimDesk(
-            self._steering, self._client, self._connections, self._find_peer
+            self._steering, claim_client, self._connections, self._find_peer
         )
         owner = Owner(self._steering, self._connections, self._claims)
         entry = Entry(
--- a/currantmast/settings.py
+++ b/currantmast/settings.py
@@ -56,7 +56,10 @@
     log_level : LogLevel
         Least severe level that is logged.
     store_calls_per_s : float
-        Most calls per second that this instance makes on the object API.
+        Most calls per second that this instance makes on the object API, but for the
+        claim log.
+    claim_calls_per_s : float
+        Most calls per second that it makes for the claim log.
     """
 
     id: Identifier
@@ -71,6 +74,9 @@
     statsd: Address | None = None
     log_level: LogLevel = LogLevel.info
     store_calls_per_s: Positive = 50
+    # All 16 partitions at one instance make at most 160 writes a second; nine instances
+    # that all read after a change of ownership stay below the store's 2,000 reads.
+    claim_calls_per_s: Positive = 200
 
     def resolve(self, member_id: str, kind: str, advertised: Address) -> Address:
         """Return the address to dial for a peer.
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -1,6 +1,7 @@
 """At most one execution for each request key."""
 
 import itertools
+from functools import partial
 
 import gevent
 import pytest
@@ -10,17 +11,19 @@
 from currantmast.clocks import LoopClock, ManualClock
 from currantmast.decisions.claimkeys import ClaimKey, parse_claim_key
 from currantmast.decisions.claimrecords import (
-    ClaimBatch,
     Fresh,
     InProgress,
     RecordedAnswer,
     Released,
     Repeated,
     Unavailable,
-    decode_batch,
-    encode_batch,
 )
 from currantmast.decisions.claims import ClaimLog, Pending
+from currantmast.decisions.claimsegments import (
+    SEGMENT_BYTES,
+    SegmentUpdate,
+    decode_segment,
+)
 from currantmast.messages import Address
 from currantmast.outcomes import NotRun, Reason
 from currantmast.runtime.claims import ClaimService, ClaimSettings, PartitionTask
@@ -32,13 +35,18 @@
 LIFETIME_S = 900
 OWNERS = 3
 INCARNATIONS = itertools.count()
+# Two batches fill a segment, so that races meet full, new and deleted segments.
+SMALL_SEGMENT_BYTES = 80
+ORDERS_IN_A_BATCH = 10
+# A new owner of a partition with 5,000 orders makes at most this many calls.
+MAX_HANDOVER_CALLS = 100
 
 
 # Actions of the race; the more likely ones are listed more often.
 ACTIONS = (
     *('claim', 'append', 'claim', 'append', 'start_write', 'lose', 'land_late'),
     *('claim', 'append', 'claim', 'append', 'release', 'release_undecided'),
-    *('record', 'delete', 'restart', 'pass_time'),
+    *('record', 'delete', 'restart', 'pass_time', 'start_read', 'delete_late'),
 )
 
 
@@ -51,22 +59,24 @@
 
 
 class Owner:
-    """One owner of the partition, with a batch that may be on its way."""
+    """One owner of the partition, with an update and a read that may be on their way."""
 
     def __init__(self, clock, number):
         # Wall clocks differ by 50 s, less than the margin of 60 s.
         skewed = SkewedClock(clock, 25 * (number - 1))
         writer = f'{number}/{next(INCARNATIONS)}'
-        self.log = ClaimLog(0, skewed, LIFETIME_S, writer)
-        self.batch = None
+        self.log = ClaimLog(0, skewed, LIFETIME_S, writer, SMALL_SEGMENT_BYTES)
+        self.update = None
+        self.listing = None
 
 
 class Race:
     """Owners that race on one log, with lost, late and refused writes.
 
-    `objects` is the store. `late` holds writes that may still take effect although
-    their answer was lost. `running` names, for each key, the attempts that were told
-    that the claim is fresh and have not released it: the executions.
+    `objects` is the store: version and body by segment. `late` holds writes that may
+    still take effect although their answer was lost. `running` names, for each key, the
+    attempts that were told that the claim is fresh and have not released it: the
+    executions.
     """
 
     def __init__(self):
@@ -86,24 +96,60 @@
             self.keys[slot] = key
         return key
 
-    def read(self, owner):
-        batches = [decode_batch(body) for body in self.objects.values()]
-        owner.log.load(batches, self.clock.now())
-
-    def create(self, batch: ClaimBatch):
-        if batch.sequence in self.objects:
+    def start_read(self, owner, _):
+        """The owner may pause between the listing and the fetching of objects."""
+        owner = self.owners[owner]
+        if owner.listing is None and owner.update is None:
+            newest = owner.log.chain.newest.number
+            listed = {
+                number: version
+                for number, (version, _) in sorted(self.objects.items())
+                if number >= newest
+            }
+            owner.listing = (self.clock.now(), listed)
+
+    def read(self, number):
+        self.start_read(number, 0)
+        log = self.owners[number].log
+        read_at, listed = self.owners[number].listing
+        self.owners[number].listing = None
+        if listed == {log.chain.newest.number: log.chain.newest.version}:
+            log.load((), read_at)
+            return
+        if listed and max(listed) not in self.objects:
+            return
+        found = [
+            decode_segment(place, *self.objects[place])
+            for place in listed
+            if place in self.objects
+        ]
+        log.load(found, read_at)
+
+    def write(self, update: SegmentUpdate):
+        number = update.segment.number
+        version = self.objects.get(number, (0, b''))[0]
+        if version != update.if_version:
             return False
-        self.objects[batch.sequence] = encode_batch(batch)
+        self.objects[number] = (version + 1, update.body)
         return True
 
+    def remove(self, number, version):
+        if self.objects.get(number, (0, b''))[0] == version:
+            self.objects.pop(number)
+
     def give_up(self, owner, claim_key, attempt):
         self.given_up.add(attempt)
         self.owners[owner].log.release(claim_key, attempt)
 
+    def prepare(self, number):
+        owner = self.owners[number]
+        reading = owner.listing is not None
+        if owner.update is None and (reading or not owner.log.is_current()):
+            self.read(number)
+
     def claim(self, owner, slot):
+        self.prepare(owner)
         owner, key = self.owners[owner], self.get_key(slot)
-        if owner.batch is None and not owner.log.is_current():
-            self.read(owner)
         self.attempts += 1
         self.claimed[f'a{self.attempts}'] = key
         result = owner.log.claim(key, f'a{self.attempts}')
@@ -111,23 +157,26 @@
             assert result.answer.body == self.answers[key]
 
     def start_write(self, owner, _):
-        """The owner may pause now; the batch is finished by `append` or `lose`."""
+        """The owner may pause now; the update is finished by `append` or `lose`."""
+        self.prepare(owner)
         owner = self.owners[owner]
-        if owner.batch is None:
-            if not owner.log.is_current():
-                self.read(owner)
-            owner.batch = owner.log.make_batch()
+        if owner.update is None:
+            owner.update = owner.log.make_update()
 
-    def append(self, owner, _):
+    def take_update(self, owner):
         self.start_write(owner, 0)
         owner = self.owners[owner]
-        batch, owner.batch = owner.batch, None
-        if batch is None:
+        update, owner.update = owner.update, None
+        return owner.log, update
+
+    def append(self, owner, _):
+        log, update = self.take_update(owner)
+        if update is None:
             return
-        if not self.create(batch):
-            owner.log.reject(batch)
+        if not self.write(update):
+            log.reject()
             return
-        for decided in owner.log.commit(batch):
+        for decided in log.commit(update):
             claimed = decided.claimed
             fresh = isinstance(decided.decision, Fresh)
             if fresh and claimed.attempt not in self.given_up:
@@ -135,24 +184,23 @@
                 self.running.setdefault(key, []).append(claimed.attempt)
 
     def lose(self, owner, lands):
-        self.start_write(owner, 0)
-        owner = self.owners[owner]
-        batch, owner.batch = owner.batch, None
-        if batch is None:
+        log, update = self.take_update(owner)
+        if update is None:
             return
         if lands:
-            self.create(batch)
+            self.write(update)
         else:
-            self.late.append(batch)
-        owner.log.reject(batch)
+            self.late.append(partial(self.write, update))
+        log.reject()
 
     def land_late(self, *_):
         if self.late:
-            self.create(self.late.pop(0))
+            self.late.pop(0)()
 
     def restart(self, owner, _):
-        if self.owners[owner].batch is not None:
-            self.late.append(self.owners[owner].batch)
+        update = self.owners[owner].update
+        if update is not None:
+            self.late.append(partial(self.write, update))
         self.owners[owner] = Owner(self.clock, owner)
 
     def release(self, owner, slot):
@@ -181,9 +229,14 @@
 
     def delete(self, owner, _):
         log = self.owners[owner].log
-        for sequence in log.list_obsolete():
-            self.objects.pop(sequence, None)
-            log.chain.forget(sequence)
+        for age in log.list_obsolete():
+            self.remove(age.number, age.version)
+            log.chain.forget(age.number)
+
+    def delete_late(self, owner, _):
+        """The first deletion is lost on its way; the owner makes no more."""
+        for age in self.owners[owner].log.list_obsolete()[:1]:
+            self.late.append(partial(self.remove, age.number, age.version))
 
     def check_at_most_one_execution(self):
         for attempts in self.running.values():
@@ -210,53 +263,64 @@
         race.check_at_most_one_execution()
 
 
-def make_logs(count):
+def make_logs(count, segment_bytes=SEGMENT_BYTES):
     clock = ManualClock()
-    logs = [ClaimLog(0, clock, LIFETIME_S, f'w{number}') for number in range(count)]
+    logs = [
+        ClaimLog(0, clock, LIFETIME_S, f'w{number}', segment_bytes)
+        for number in range(count)
+    ]
     for log in logs:
-        log.load((), 0)
+        log.load((), clock.now())
     issued = int(clock.wall())
     return clock, ClaimKey('t', 'orders', f'{issued}.k', issued), *logs
 
 
+def append(log):
+    """Append what waits as if the store had taken it; return the update."""
+    update = log.make_update()
+    log.commit(update)
+    return update
+
+
 def test_rejected_batch_is_undecided_until_read():
     """Guards against an owner that appends in vain to a log it has not read."""
     clock, key, one, two = make_logs(2)
     assert isinstance(one.claim(key, 'a'), Pending)
     assert isinstance(two.claim(key, 'b'), Pending)
-    first, second = one.make_batch(), two.make_batch()
+    first, second = one.make_update(), two.make_update()
     assert [decided.decision for decided in one.commit(first)] == [Fresh()]
-    two.reject(second)
-    assert two.make_batch() is None
+    assert (first.name, first.if_version) == (second.name, second.if_version)
+    two.reject()
+    assert two.make_update() is None
     assert isinstance(two.claim(replace(key, team='u'), 'c'), Unavailable)
-    two.load([first], clock.now())
-    (decided,) = two.commit(two.make_batch())
+    two.load([first.segment], clock.now())
+    (decided,) = two.commit(two.make_update())
     assert decided.decision == InProgress()
 
 
 def test_released_attempt_is_never_fresh():
     """Guards against a late claim of an attempt whose release came first."""
-    _, key, one, two = make_logs(2)
+    clock, key, one, two = make_logs(2)
     one.claim(key, 'a')
-    late = one.make_batch()
-    one.reject(late)
+    late = one.make_update()
+    one.reject()
     one.release(key, 'a')
     two.release(key, 'a')
-    two.load([late], 0)
-    (batch,) = [two.make_batch()]
-    assert two.commit(batch) == ()
+    two.load([late.segment], clock.now())
+    update = two.make_update()
+    assert two.commit(update) == ()
     assert isinstance(two.claim(key, 'b'), Pending)
-    one.load([late, batch], 0)
-    assert isinstance(one.make_batch().operations[0], Released)
+    one.load([update.segment], clock.now())
+    assert isinstance(one.make_update().batch.operations[0], Released)
 
 
 def test_claim_after_its_release_is_not_fresh():
     """Guards against an attempt that runs after it was given up elsewhere."""
     _, key, log = make_logs(1)
     log.release(key, 'a')
-    log.commit(log.make_batch())
+    append(log)
     log.claim(key, 'a')
-    (decided,) = log.commit(log.make_batch())
+    (decided,) = log.commit(log.make_update())
     assert isinstance(decided.decision, Unavailable)
 
 
@@ -264,44 +328,106 @@
     """Guards against a fresh claim by an owner that read the log long ago."""
     clock, key, log = make_logs(1)
     log.claim(key, 'a')
-    batch = log.make_batch()
+    update = log.make_update()
     clock.advance(61)
-    assert log.commit(batch) == ()
+    assert log.commit(update) == ()
     assert not log.is_current()
 
 
+def test_read_that_took_too_long_is_ignored():
+    """Guards against objects created again between the listing and the fetch."""
+    clock, key, one, two = make_logs(2)
+    one.claim(key, 'a')
+    late, read_at = one.make_update(), clock.now()
+    clock.advance(61)
+    two.load([late.segment], read_at)
+    assert not two.is_current()
+    assert two.chain.next_sequence == 0
+
+
 def test_late_batch_in_a_deleted_place_is_passed_over():
     """Guards against replaying a batch that the log's later batches don't follow."""
-    _, key, one, two, three = make_logs(3)
+    clock, key, one, two, three = make_logs(3, segment_bytes=1)
     one.claim(key, 'late')
     two.claim(replace(key, team='u'), 'first')
-    two.commit(two.make_batch())
+    append(two)
     two.claim(key, 'second')
-    successor = two.make_batch()
-    three.load([one.make_batch(), successor], 0)
+    successor = two.make_update()
+    assert successor.segment.number == 1
+    three.load([one.make_update().segment, successor.segment], clock.now())
     three.record(key, 'second', RecordedAnswer('done', 200))
-    three.commit(three.make_batch())
+    append(three)
     assert isinstance(three.claim(key, 'x'), Repeated)
 
 
+def list_obsolete(log):
+    return [age.number for age in log.list_obsolete()]
+
+
 def test_deletions_leave_no_gap():
     """Guards against a deleted batch that hides an older one still needed."""
-    clock, key, log = make_logs(1)
+    clock, key, log = make_logs(1, segment_bytes=1)
     for number, issued in enumerate((key.issued_at + 50, key.issued_at, 0)):
         log.record(replace(key, team=f't{number}', issued_at=issued), 'a', None)
-        log.commit(log.make_batch())
+        append(log)
     clock.advance(LIFETIME_S + 1)
-    assert log.list_obsolete() == ()
+    assert list_obsolete(log) == []
 
 
 def test_absent_last_batch_is_not_reused():
-    """Guards against sequence numbers that start anew after deletions."""
-    clock, key, log = make_logs(1)
+    """Guards against segment numbers that start anew after deletions."""
+    clock, key, log = make_logs(1, segment_bytes=1)
     for number in range(3):
         log.claim(replace(key, team=f't{number}'), 'a')
-        log.commit(log.make_batch())
+        append(log)
+    clock.advance(LIFETIME_S + 1)
+    assert list_obsolete(log) == [0, 1]
+
+
+def test_segment_is_kept_for_each_of_its_batches():
+    """Guards against a segment deleted while one of its keys can be used."""
+    clock, key, log = make_logs(1, segment_bytes=60)
+    for number, issued in enumerate((0, key.issued_at + 50, 0, 0)):
+        log.release(replace(key, team=f't{number}', issued_at=issued), 'a')
+        append(log)
+    assert log.chain.newest.number == 1
+    clock.advance(LIFETIME_S + 1)
+    assert list_obsolete(log) == []
+    clock.advance(50)
+    assert list_obsolete(log) == [0]
+
+
+def test_segment_is_kept_until_its_successor_is_known_for_long():
+    """Guards against a newest segment that is deleted after another owner listed it."""
+    clock, key, log = make_logs(1, segment_bytes=1)
+    log.claim(key, 'a')
+    append(log)
     clock.advance(LIFETIME_S + 1)
-    assert log.list_obsolete() == (0, 1)
+    log.load((), clock.now())
+    log.claim(replace(key, team='u', issued_at=int(clock.wall())), 'b')
+    append(log)
+    clock.advance(119)
+    assert list_obsolete(log) == []
+    clock.advance(2)
+    assert list_obsolete(log) == [0]
+
+
+def test_full_segment_is_followed_by_the_next():
+    """Guards against objects that grow without limit, and updates of a full one."""
+    clock, key, one, two = make_logs(2)
+    update = None
+    for number in itertools.count():
+        one.record(key, f'a{number}', RecordedAnswer('done', 200, body=bytes(999)))
+        if one.chain.newest.size >= SEGMENT_BYTES:
+            break
+        update = append(one)
+        assert (update.segment.number, update.if_version) == (0, number)
+    two.load([decode_segment(0, update.segment.version, update.body)], clock.now())
+    two.release(key, 'a')
+    for log in (one, two):
+        following = log.make_update()
+        assert (following.segment.number, following.if_version) == (1, 0)
+        assert len(following.segment.batches) == 1
 
 
 @pytest.mark.parametrize(
@@ -398,6 +524,75 @@
     assert fleet.start('three').claim(key, 'd', 5) == Repeated(answer)
 
 
+def fill(address, orders):
+    """Write a log with `orders` answered orders; return the key of the first."""
+    clock = LoopClock()
+    log = ClaimLog(0, clock, LIFETIME_S, 'filler')
+    log.load((), clock.now())
+    answer = RecordedAnswer.make_done(201, 'application/json', b'{"booking":12345678}')
+    with ObjectClient(address, clock, 1e6) as store:
+        for start in range(0, orders, ORDERS_IN_A_BATCH):
+            for number in range(start, start + ORDERS_IN_A_BATCH):
+                key = make_key(f'filled-{number}')
+                log.claim(key, f'attempt-of-{number:012}')
+                log.record(key, f'attempt-of-{number:012}', answer)
+            update = append(log)
+            store.put(update.name, update.body, update.if_version)
+    return key, answer
+
+
+def count_calls(store):
+    return store.budget.counts.total()
+
+
+def test_handover_of_a_long_log_needs_few_calls(fleet):
+    """Guards against refusals and a used up call budget after a change of ownership."""
+    key, answer = fill(fleet.address, 5000)
+    task = fleet.start('new')
+    assert task.claim(key, 'a', 5) == Repeated(answer)
+    assert count_calls(fleet.stores[-1]) <= MAX_HANDOVER_CALLS
+
+
+def test_conflict_reads_from_the_newest_segment_on(fleet):
+    """Guards against reading a whole log again after another owner's append."""
+    fill(fleet.address, 1000)
+    first, second = fleet.start('one'), fleet.start('two')
+    for number, task in enumerate((first, second, first)):
+        before = [count_calls(store) for store in fleet.stores]
+        assert task.claim(make_key(f'k{number}'), 'a', 5) == Fresh()
+    made = count_calls(fleet.stores[0]) - before[0]
+    # The update in vain, listing, newest segment, update.
+    assert made <= 4
+
+
+def test_claim_waits_while_its_log_is_read(fleet, objects):
+    """Guards against refusals by a new owner that has not read its log yet."""
+    fill(fleet.address, 1000)
+    objects.faults = ObjectFaults(delay_s=0.05)
+    assert fleet.start('new').claim(make_key('k'), 'a', 5) == Fresh()
+
+
+def test_log_is_read_before_its_first_claim(fleet):
+    """Guards against a first claim after a change of ownership that waits for reads."""
+    fill(fleet.address, 1000)
+    fleet.start('new')
+    gevent.sleep(0.5)
+    store = fleet.stores[-1]
+    assert store.budget.counts['list'] == 1
+    assert store.budget.counts['get'] > 1
+
+
+def test_retired_owner_writes_what_it_has(fleet):
+    """Guards against answers lost when an owner leaves gracefully."""
+    task, key = fleet.start('one'), make_key('k')
+    assert task.claim(key, 'a', 5) == Fresh()
+    answer = RecordedAnswer.make_done(201, 'text/plain', b'done')
+    task.record(key, 'a', answer)
+    task.retire()
+    assert isinstance(task.claim(make_key('other'), 'b', 5), Unavailable)
+    claim_until(fleet.start('two'), key, Repeated(answer))
+
+
 def test_released_claim_may_run_again(fleet):
     """Guards against a key that is lost although its request was never sent."""
     task, key = fleet.start('one'), make_key('k')
