--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -387,7 +387,7 @@
 def test_segment_is_kept_for_each_of_its_batches():
     """Guards against a segment deleted while one of its keys can be used."""
     clock, key, log = make_logs(1, segment_bytes=60)
-    for number, issued in enumerate((0, key.issued_at + 50, 0, 0)):
+    for number, issued in enumerate((key.issued_at + 50, 0, 0, 0)):
         log.release(replace(key, team=f't{number}', issued_at=issued), 'a')
         append(log)
     assert log.chain.newest.number == 1
