Halve the largest batch of the claim log

With 400 answers of 2 KB a segment could reach 0.88 MB; 200 keep it below half of the store's limit of 1 MB. Two scripted races guard the rule of deletions: a segment deleted at once, and one deleted while another owner reads it. Random races rarely meet them.

--- a/currantmast/decisions/claimsegments.py
+++ b/currantmast/decisions/claimsegments.py
@@ -17,8 +17,8 @@
 
 # Each append rewrites the segment, half of this on average; a new owner makes one call
 # for each segment. At 16 KB an append costs about 8 KB more, and 5,000 orders with short
-# answers are read with fewer than 100 calls. With a batch of 400 answers of 2 KB, which
-# may be the last one of a segment, the object stays below 1 MB.
+# answers are read with fewer than 100 calls. With a batch of 200 answers of 2 KB, which
+# may be the last one of a segment, the object stays below half a megabyte.
 SEGMENT_BYTES = 16_384
 
 
--- a/currantmast/decisions/claimtables.py
+++ b/currantmast/decisions/claimtables.py
@@ -14,8 +14,8 @@
     Unavailable,
 )
 
-# Operations in one batch; with answers of 2 KB a batch stays below 1 MB.
-MAX_OPERATIONS = 400
+# Operations in one batch; with answers of 2 KB a batch stays below half a megabyte.
+MAX_OPERATIONS = 200
 
 Decision = Fresh | Repeated | InProgress | Unavailable
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -29,6 +29,7 @@
 from currantmast.runtime.claims import ClaimService, ClaimSettings, PartitionTask
 from currantmast.runtime.claimstore import SegmentStore
 from currantmast.runtime.store import (
+    MAX_VALUE_BYTES,
     Listing,
     ObjectClient,
     ObjectEntry,
@@ -286,6 +287,29 @@
     run_race(TWO_BATCHES_BYTES, steps)
 
 
+def test_segment_deleted_at_once_is_not_created_again():
+    """Guards against an owner that creates a segment which was deleted unread."""
+    steps = (
+        # Owner 1 still holds an expired claim; owner 0 reads the empty log.
+        *(('claim', 1, 0), ('pass_time', 2, 1), ('claim', 0, 1), ('start_write', 0, 0)),
+        *(('append', 1, 0), ('claim', 1, 1), ('append', 1, 0), ('delete', 1, 0)),
+        ('append', 0, 0),
+    )
+    run_race(ONE_BATCH_BYTES, steps)
+
+
+def test_segment_deleted_while_it_is_read_is_not_taken_for_the_newest():
+    """Guards against a late write that takes the place of the segment listed last."""
+    steps = (
+        # The first write of owner 2 is late; owner 1 fills the segment.
+        *(('claim', 2, 0), ('start_write', 2, 0), ('restart', 2, 0)),
+        *(('claim', 1, 0), ('append', 1, 0), ('claim', 1, 1), ('append', 1, 0)),
+        *(('pass_time', 2, 1), ('start_read', 0, 0), ('claim', 1, 0), ('append', 1, 0)),
+        *(('delete', 1, 0), ('land_late', 0, 0), ('claim', 0, 0), ('append', 0, 0)),
+    )
+    run_race(TWO_BATCHES_BYTES, steps)
+
+
 def make_logs(count, segment_bytes=SEGMENT_BYTES):
     clock = ManualClock()
     logs = [
@@ -616,6 +640,18 @@
     claim_until(fleet.start('two'), key, Repeated(answer))
 
 
+def test_largest_segment_is_far_below_the_limit_of_the_store():
+    """Guards against a batch that the store refuses for its size."""
+    _, key, log = make_logs(1)
+    answer = RecordedAnswer.make_done(201, 'application/json', bytes(3000))
+    while log.chain.newest.size < SEGMENT_BYTES // 2:
+        log.record(key, 'a' * 40, answer)
+        append(log)
+    for _ in range(1000):
+        log.record(key, 'a' * 40, answer)
+    assert len(append(log).body) < MAX_VALUE_BYTES / 2
+
+
 def test_vanished_newest_segment_is_listed_again():
     """Guards against a log taken as read although its end was not."""
     clock, key, log, reader = make_logs(2)
