Remove a member only when most witnesses miss it, and stand in for claims

Building a table of millions of blocks stopped the loop for seconds, and each look-up walked all members. Change: heartbeats name silent members, and a removal needs most of the witnesses heard from; an instance appends to a partition whose owner it can't reach, which the store's conditional updates keep safe; the block table is built in steps; readiness is tracked by changes. Ruled out: removing only on unanimity, since one witness behind a half-broken link would keep a dead member listed.

--- a/currantmast/decisions/membership.py
+++ b/currantmast/decisions/membership.py
@@ -206,6 +206,7 @@
         '_record',
         '_self_key',
         '_sightings',
+        '_silent_at',
         '_since',
         '_timing',
     )
@@ -218,12 +219,14 @@
         self._self_key = MemberKey(self_id, incarnation)
         self._record = FleetRecord(0)
         self._sightings = Sightings(clock)
+        self._silent_at: dict[str, frozenset[str]] = {}
         self._since: dict[MemberKey, float] = {}
         self._expiry = Expiry(clock, timing.lease_s)
 
     def observe_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Note who sent `heartbeat` and which epoch and version it carries."""
         key = MemberKey(heartbeat.sender, heartbeat.incarnation)
+        self._silent_at[heartbeat.sender] = frozenset(heartbeat.silent)
         if self._sightings.note(key, heartbeat.epoch, heartbeat.version):
             self._expiry.update(self._sightings)
 
@@ -286,13 +289,24 @@
             if self.get_silence(member) <= self._timing.removal_after_s
         )
 
+    def list_silent(self) -> tuple[str, ...]:
+        """Return the ids of the members not heard from within the removal time."""
+        limit = self._timing.removal_after_s
+        return tuple(
+            member.id
+            for member in self._record.members
+            if self.get_silence(member) > limit
+        )
+
     def choose_removals(self, self_id: str) -> tuple[str, ...]:
         """Return the ids of the members that `self_id` should remove now.
 
         The live member with the lowest id removes at once, the next ones each
         `REMOVAL_STAGGER_S` later, should the lower ones fail to. A member that
         hears less than a blocking set of witnesses removes nobody: it is more
-        likely cut off itself, and could reclaim nothing.
+        likely cut off itself, and could reclaim nothing. A member is removed only if
+        most of the witnesses heard from miss it too: two regions that lose each other
+        must not remove each other while a third one hears both.
 
         The choice holds for the adopted record. If the store has a later one, adopt
         it and choose again: a member may have become its only live witness.
@@ -305,7 +319,7 @@
         return tuple(
             member.id
             for member in self._record.members
-            if self.get_silence(member) > limit
+            if self.get_silence(member) > limit and self._is_missed(member.id, live)
         )
 
     def prune(self, record: FleetRecord) -> FleetRecord:
@@ -336,6 +350,16 @@
             if not self._expiry.has_expired(get_key(entry.member))
         )
 
+    def _is_missed(self, member_id: str, live: list[str]) -> bool:
+        """Return whether most live witnesses have not heard from a silent member."""
+        voters = [witness for witness in self._record.witnesses if witness in live]
+        missed = [
+            witness == self._self_key.id
+            or member_id in self._silent_at.get(witness, frozenset())
+            for witness in voters
+        ]
+        return 2 * sum(missed) > len(missed)
+
     def _hears_blocking_set(self, live: list[str]) -> bool:
         witnesses = self._record.witnesses
         silent_count = sum(witness not in live for witness in witnesses)
--- a/currantmast/messages.py
+++ b/currantmast/messages.py
@@ -228,6 +228,8 @@
         Monotonic time of the sender in seconds; only echoed, never compared.
     ready : bool
         Whether the sender can admit keyed requests.
+    silent : tuple of str
+        Members that the sender has not heard from within the removal time.
     """
 
     sender: str
@@ -241,6 +243,7 @@
     capacity: tuple[Capacity, ...] = ()
     remaining: tuple[Remaining, ...] = ()
     suspects: tuple[Suspect, ...] = ()
+    silent: tuple[str, ...] = ()
 
 
 class HeartbeatAck(msgspec.Struct, frozen=True, tag='ack'):
--- a/currantmast/peering.py
+++ b/currantmast/peering.py
@@ -99,6 +99,7 @@
             capacity=report.capacity,
             remaining=report.remaining,
             suspects=report.suspects,
+            silent=self.observer.list_silent(),
         )
 
     def observe_heartbeat(self, heartbeat: Heartbeat) -> HeartbeatAck:
--- a/currantmast/runtime/claiming.py
+++ b/currantmast/runtime/claiming.py
@@ -32,6 +32,7 @@
 # Longest wait for one answer; the next call takes a new connection, should the pooled
 # one have gone silent.
 CALL_TIMEOUT_S = 0.8
+STAND_IN_S = 15.0
 CLAIM_PAUSE_S = 0.1
 FOLLOW_PERIOD_S = 0.25
 NOTICE_ATTEMPTS = 5
@@ -97,7 +98,9 @@
         '_client',
         '_connections',
         '_find_peer',
+        '_owned',
         '_service',
+        '_stand_ins',
         '_steering',
     )
 
@@ -114,6 +117,10 @@
         self._find_peer = find_peer
         self._service: ClaimService | None = None
         self._attempts: dict[str, Attempt] = {}
+        self._owned: frozenset[int] = frozenset()
+        # Partitions of unreachable owners, with the time until which this instance
+        # appends to them.
+        self._stand_ins: dict[int, float] = {}
 
     def __repr__(self) -> str:
         """Return the number of attempts under way."""
@@ -183,7 +190,8 @@
             owned = list_owned(peering.record, self._steering.member.id, names)
             if not peering.is_member:
                 owned = ()
-            self._service.adopt(frozenset(names[name] for name in owned))
+            self._owned = frozenset(names[name] for name in owned)
+            self._adopt()
             self._steering.clock.sleep(FOLLOW_PERIOD_S)
 
     def _claim_key(self, work: Work, key: ClaimKey) -> tuple[Attempt, ClaimResult]:
@@ -203,6 +211,28 @@
                 return attempt, result
             clock.sleep(CLAIM_PAUSE_S)
 
+    def _adopt(self) -> None:
+        now = self._steering.clock.now()
+        self._stand_ins = {
+            partition: until
+            for partition, until in self._stand_ins.items()
+            if until > now
+        }
+        self._service.adopt(self._owned | frozenset(self._stand_ins))
+
+    def _stand_in(self, partition: int) -> None:
+        """Append to a partition whose owner can't be reached.
+
+        The store decides between several owners, so this is safe; it only costs
+        conflicts while the listed owner appends as well.
+        """
+        if self._service is None or not self._steering.peering.is_member:
+            return
+        log_event('claims_stand_in', partition=partition)
+        until = self._steering.clock.now() + STAND_IN_S
+        self._stand_ins[partition] = until
+        self._adopt()
+
     def _parse(self, work: Work) -> ClaimKey | NotRun:
         return parse_claim_key(
             work.team or '',
@@ -219,6 +249,7 @@
         except TransportError as error:
             # The claim may still be written, for an attempt that will never be sent.
             self._release(attempt)
+            self._stand_in(attempt.key.partition)
             return Unavailable(str(error))
         return result
 
@@ -241,6 +272,8 @@
     def _call_owner(
         self, key: ClaimKey, call: PartitionCall, timeout_s: float
     ) -> ClaimResult:
+        if key.partition in self._stand_ins:
+            return self._serve_call(call)
         owner = choose_owner(
             self._steering.peering.record, _name_partition(key.partition)
         )
--- a/currantmast/steering.py
+++ b/currantmast/steering.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from collections.abc import Callable
+from functools import partial
 
 import msgspec
 
@@ -75,7 +76,7 @@
         self._blocks: BlockTable | None = None
         self._router: Router | None = None
         self._directory: Directory | None = None
-        self._unready: frozenset[str] = frozenset()
+        self._readiness = 0
         self._shift_gate = ShiftGate(self.shares.take)
         # Called when peers should hear of a change before the next heartbeat is due.
         self.notify: Callable[[], None] = do_nothing
@@ -98,10 +99,17 @@
         held = self.configuration
         if held is not None and configuration.version <= held.version:
             return False
+        sites = configuration.deployment.sites
+        blocks = self._blocks
+        if held is None or held.deployment.sites != sites:
+            # Millions of blocks take seconds; the pauses let requests and heartbeats
+            # go on, and another configuration come first.
+            blocks = BlockTable.from_sites(sites, partial(self.clock.sleep, 0))
+        if self.configuration is not held:
+            return self.adopt_configuration(configuration)
         base = configuration.deployment.base
         inventory = Inventory(configuration.deployment)
-        if held is None or held.deployment.sites != configuration.deployment.sites:
-            self._blocks = BlockTable.from_sites(configuration.deployment.sites)
+        self._blocks = blocks
         self.configuration = configuration
         self.inventory = inventory
         self._directory = None
@@ -163,9 +171,9 @@
 
     def find_instances(self, caller: str, origin: Origin) -> LookupAnswer:
         """Return the instances that `caller` should use, best first."""
-        unready = self.views.list_unready(self.peering.record, self.member.id)
-        if self._directory is None or unready != self._unready:
-            self._unready = unready
+        if self._directory is None or self.views.readiness != self._readiness:
+            self._readiness = self.views.readiness
+            unready = self.views.list_unready(self.peering.record, self.member.id)
             record = drop_members(self.peering.record, unready)
             self._directory = Directory(record, self.inventory)
         return self._directory.find(caller, origin.home)
--- a/currantmast/views.py
+++ b/currantmast/views.py
@@ -22,12 +22,15 @@
         Source of time.
     """
 
-    __slots__ = ('_clock', '_seen', '_unready')
+    __slots__ = ('_clock', '_heard', '_seen', '_unready', 'readiness')
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._seen: dict[str, _Seen] = {}
         self._unready: set[str] = set()
+        self._heard: set[str] = set()
+        # Changes whenever the set of members that can serve does.
+        self.readiness = 0
 
     def __repr__(self) -> str:
         """Return the number of owners known."""
@@ -40,6 +43,10 @@
 
     def note_ready(self, member_id: str, ready: bool) -> None:
         """Note whether `member_id` can admit keyed requests."""
+        known = member_id in self._unready
+        if known is ready or member_id not in self._heard:
+            self.readiness += 1
+        self._heard.add(member_id)
         if ready:
             self._unready.discard(member_id)
         else:
@@ -51,7 +58,7 @@
             member.id
             for member in record.members
             if member.id != self_id
-            and (member.id in self._unready or member.id not in self._seen)
+            and (member.id in self._unready or member.id not in self._heard)
         )
 
     def note_sent(self, member_id: str, service: str) -> None:
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -109,6 +109,7 @@
             self.clock.now(),
             demands=self.shares.list_demands(),
             shares=self.shares.list_held(),
+            silent=self.observer.list_silent(),
         )
         for member in self.record.members:
             self.fleet.send(self, member.id, heartbeat)
