--- a/currantmast/experiment/claimslopes.py
+++ b/currantmast/experiment/claimslopes.py
@@ -1,32 +1,28 @@
 """Cost of claims and of reading a partition's log at takeover."""
 
 import time
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 
 from currantmast.clocks import ManualClock
 from currantmast.decisions.claimkeys import ClaimKey
-from currantmast.decisions.claimrecords import (
-    ClaimBatch,
-    RecordedAnswer,
-    decode_batch,
-    encode_batch,
-)
+from currantmast.decisions.claimrecords import RecordedAnswer
 from currantmast.decisions.claims import ClaimLog
+from currantmast.decisions.claimsegments import SegmentUpdate, decode_segment
 from currantmast.experiment.usage import measure_step
 
 Row = list[float]
 
 LIFETIME_S = 900.0
 CLAIMS_PER_BATCH = 200
-"""Claims and answers of one batch; both together stay within its 400 operations."""
+"""Claims, or answers, of one batch; as many operations as it takes."""
 
 US_PER_S = 1_000_000
 CLAIM_COSTS = (
     'log B',
     'B a claim',
-    'largest batch B',
+    'largest segment B',
     'claim and answer us',
-    'batches',
+    'segments',
     'load s',
     'load us a claim',
     'RSS MB',
@@ -50,9 +46,12 @@
 def _measure_log(size: int, body_bytes: int) -> Row:
     clock = ManualClock(1)
     started_s = time.process_time()
-    bodies = list(_write_log(size, body_bytes, clock))
+    updates = {
+        update.segment.number: update for update in _write_log(size, body_bytes, clock)
+    }
     write_s = time.process_time() - started_s
-    loaded = measure_step(lambda: _load(bodies, clock))
+    loaded = measure_step(lambda: _load(updates.values(), clock))
+    bodies = [update.body for update in updates.values()]
     total = sum(map(len, bodies))
     return [
         total,
@@ -66,7 +65,9 @@
     ]
 
 
-def _write_log(size: int, body_bytes: int, clock: ManualClock) -> Iterator[bytes]:
+def _write_log(
+    size: int, body_bytes: int, clock: ManualClock
+) -> Iterator[SegmentUpdate]:
     log = ClaimLog(0, clock, LIFETIME_S, 'region00-00000/0123456789abcdef')
     log.load((), clock.now())
     answer = RecordedAnswer.make_done(200, 'application/json', b'x' * body_bytes)
@@ -83,17 +84,19 @@
         yield _write_batch(log)
 
 
-def _write_batch(log: ClaimLog) -> bytes:
-    batch = log.make_batch()
-    body = encode_batch(batch)
-    log.commit(batch)
-    return body
+def _write_batch(log: ClaimLog) -> SegmentUpdate:
+    update = log.make_update()
+    log.commit(update)
+    return update
 
 
-def _load(bodies: list[bytes], clock: ManualClock) -> ClaimLog:
-    batches: list[ClaimBatch] = [decode_batch(body) for body in bodies]
+def _load(updates: Iterable[SegmentUpdate], clock: ManualClock) -> ClaimLog:
+    segments = [
+        decode_segment(update.segment.number, update.segment.version, update.body)
+        for update in updates
+    ]
     log = ClaimLog(0, clock, LIFETIME_S)
-    log.load(batches, clock.now())
+    log.load(segments, clock.now())
     return log
 
 
--- a/currantmast/experiment/takeoverslopes.py
+++ b/currantmast/experiment/takeoverslopes.py
@@ -15,7 +15,7 @@
 from currantmast.experiment.plans import STORE_HOST, PortReserver
 from currantmast.experiment.processes import Process
 from currantmast.messages import Address
-from currantmast.runtime.claims import BatchStore
+from currantmast.runtime.claimstore import SegmentStore
 from currantmast.runtime.store import ObjectClient
 from currantmast.settings import InstanceSettings
 
@@ -29,11 +29,11 @@
 
 
 def get_calls_per_s() -> float:
-    """Return the call budget that an instance has unless its settings say otherwise."""
+    """Return the call budget for claims unless the settings say otherwise."""
     return next(
         field.default
         for field in msgspec.structs.fields(InstanceSettings)
-        if field.name == 'store_calls_per_s'
+        if field.name == 'claim_calls_per_s'
     )
 
 
@@ -60,14 +60,14 @@
     log = ClaimLog(partition, clock, LIFETIME_S, 'writer')
     log.load((), clock.now())
     with ObjectClient(address, clock, WRITE_CALLS_PER_S, caller='writer') as client:
-        batches = BatchStore(client, partition, clock)
+        segments = SegmentStore(client, partition, clock)
         for number in range(size):
             issued_at = int(clock.wall())
             key = ClaimKey('team', 'orders', f'{issued_at}.{number}', issued_at)
             log.claim(key, str(number))
-            batch = log.make_batch()
-            batches.create(batch)
-            log.commit(batch)
+            update = log.make_update()
+            segments.write(update)
+            log.commit(update)
 
 
 def _read_log(address: Address, partition: int, size: int) -> Row:
@@ -77,7 +77,7 @@
     with ObjectClient(address, clock, get_calls_per_s(), caller='reader') as client:
         log = ClaimLog(partition, clock, LIFETIME_S)
         started_s = time.monotonic()
-        BatchStore(client, partition, clock).read_into(log)
+        SegmentStore(client, partition, clock).read_into(log)
         took_s = time.monotonic() - started_s
     calls = _count_calls(controls, address) - before
     controls.close()
