Test that a crashed order is reported as unknown and sent once

Nothing with real processes looked at the outcome of an order whose target died.

Ruled out: test_kill breaks exchanges of an entry with an owner, never those of an owner with a target.

--- a/tests/integration/test_poison.py
+++ b/tests/integration/test_poison.py
@@ -3,9 +3,10 @@
 import gevent
 
 from currantmast.client import Call, Client, read_outcome
+from currantmast.deployment import ServiceKind
 from currantmast.experiment.load import LoadShape, choose_address
 from currantmast.experiment.scenarios import Scenario, count_unanswered
-from currantmast.outcomes import Done, NotRun, Reason
+from currantmast.outcomes import Done, NotRun, OutcomeUnknown, Reason
 
 SENDS = 5
 DEADLINE_S = 4
@@ -43,6 +44,22 @@
         assert outcomes[-1].reason is Reason.quarantined
 
 
+def test_order_that_crashed_its_target_is_neither_refused_nor_sent_again(fleet):
+    """Guards against a false "not run", and against a second execution by a retry."""
+    services = fleet.plan.deployment.base.services
+    service = next(s for s in services if s.kind is ServiceKind.order)
+    key = fleet.plan.keys[fleet.plan.deployment.base.teams[0].id]
+    call = Call(service.id, 'POST', 'poison/crashed-1', b'order', deadline_s=DEADLINE_S)
+    with Scenario(fleet, 'crashed', seed=27) as scenario:
+        with Client(fleet.entry_addresses[:1], key) as client:
+            outcome = read_outcome(
+                client.send(fleet.entry_addresses[0], call, DEADLINE_S)
+            )
+        scenario.inspect()
+        assert isinstance(outcome, OutcomeUnknown)
+        assert len(scenario.history.executions) == 1
+
+
 def test_other_requests_are_served_after_the_crashes(fleet):
     with Scenario(fleet, 'sound', seed=18) as scenario:
         scenario.run(LoadShape(60, 4))
