--- a/tests/integration/test_kill.py
+++ b/tests/integration/test_kill.py
@@ -4,15 +4,23 @@
 
 import gevent
 
+from currantmast.deployment import ServiceKind
 from currantmast.experiment.disturbances import kill_instance
 from currantmast.experiment.load import LoadShape
 from currantmast.experiment.scenarios import Scenario, count_unanswered
 from currantmast.outcomes import Reason
 
+from .test_drain import slow_down
+
 RATE = 60
 AROUND_S = 3
 RECLAIM_S = 8
 KILLED = 3
+OWNER = 4
+"""An instance that the callers of its region's site don't list first."""
+
+ORDER_RATE = 30
+ORDERS_S = 4
 
 
 def test_killed_instance_costs_only_its_running_requests(fleet):
@@ -28,3 +36,27 @@
         assert all(call.sent <= died for call in unknown)
         late = [call for call in scenario.calls if call.sent > died + RECLAIM_S]
         assert count_unanswered(late, (Reason.rate_exceeded,)) == {}
+
+
+def test_orders_running_at_a_killed_owner_are_not_called_unrun(fleet):
+    """Guards against a false "not run" for orders of which an entry only lost sight."""
+    base = fleet.plan.deployment.base
+    killed = fleet.plan.instances[OWNER]
+    order = next(s for s in base.services if s.kind is ServiceKind.order)
+    pool = next(
+        p for p in base.pools if (p.service, p.region) == (order.id, killed.region)
+    )
+    sites = tuple(s.id for s in fleet.plan.deployment.sites if s.region == pool.region)
+    shape = LoadShape(
+        ORDER_RATE, ORDERS_S, sites=sites, kinds=(order.kind,), keyed=False
+    )
+    with Scenario(fleet, 'running', seed=29) as scenario, slow_down(fleet, pool):
+        scenario.start(shape)
+        gevent.sleep(ORDERS_S / 2)
+        with kill_instance(fleet, OWNER):
+            scenario.join()
+        assert scenario.inspect() == ()
+        assert any(
+            call.outcome == 'unknown' and call.instance != killed.id
+            for call in scenario.calls
+        )
