--- a/currantmast/decisions/expiry.py
+++ b/currantmast/decisions/expiry.py
@@ -20,11 +20,9 @@
 def is_blocked(record: FleetRecord, departure: Departure, sightings: Sightings) -> bool:
     """Return whether a departed member can't renew its lease any more.
 
-    Either its id was joined again, or a blocking set of the witnesses of each epoch
-    that it may be in has confirmed a later epoch.
+    That is so when a blocking set of the witnesses of each epoch that it may be in has
+    confirmed a later epoch. An id that was joined again is for the caller to check.
     """
-    if any(member.id == departure.member.id for member in record.members):
-        return True
     reported = sightings.get(get_key(departure.member)).epoch
     for past in record.past_witnesses:
         if past.last_epoch < reported:
@@ -52,12 +50,13 @@
         Time that a renewal lasts, in seconds.
     """
 
-    __slots__ = ('_blocked_at', '_clock', '_expired', '_record', '_wait_s')
+    __slots__ = ('_blocked_at', '_clock', '_expired', '_ids', '_record', '_wait_s')
 
     def __init__(self, clock: Clock, lease_s: float) -> None:
         self._clock = clock
         self._wait_s = lease_s * LEASE_DRIFT_FACTOR + LEASE_MARGIN_S
         self._record = FleetRecord(0)
+        self._ids: frozenset[str] = frozenset()
         self._blocked_at: dict[MemberKey, float] = {}
         self._expired: dict[MemberKey, None] = {}
 
@@ -80,6 +79,7 @@
             if blocked in departed
         }
         self._record = record
+        self._ids = frozenset(member.id for member in record.members)
 
     def update(self, sightings: Sightings) -> None:
         """Start the wait of each departed member that is blocked by now."""
@@ -88,7 +88,8 @@
             key = get_key(departure.member)
             if key in self._blocked_at:
                 continue
-            if is_blocked(self._record, departure, sightings):
+            rejoined = key.id in self._ids
+            if rejoined or is_blocked(self._record, departure, sightings):
                 self._blocked_at[key] = now
 
     def has_expired(self, key: MemberKey) -> bool:
--- a/currantmast/runtime/fleet.py
+++ b/currantmast/runtime/fleet.py
@@ -28,6 +28,10 @@
     """Other members changed the fleet record in every attempt."""
 
 
+class NobodySilent(CurrantmastError):
+    """No member is to be removed under the record that the store holds now."""
+
+
 class FleetStore:
     """Reads and changes the fleet record on behalf of one instance.
 
@@ -87,18 +91,31 @@
         steering = self._steering
         while True:
             steering.clock.sleep(REMOVAL_PERIOD_S)
-            silent = steering.peering.observer.choose_removals(steering.member.id)
-            if silent:
-                self._try_removal(silent)
+            if steering.peering.observer.choose_removals(steering.member.id):
+                self._try_removal()
 
-    def _try_removal(self, silent: tuple[str, ...]) -> None:
-        log_event('removing', members=','.join(silent))
+    def _try_removal(self) -> None:
         try:
-            self.remove(*silent)
+            self._update(self._drop_silent, 'remove_silent')
+        except NobodySilent as error:
+            log_event('fleet_change_obsolete', change='remove_silent', error=error)
         except CurrantmastError as error:
             log_event('removal_failed', level='WARNING', error=error)
             self._steering.clock.sleep(REMOVAL_BACKOFF_S)
 
+    def _drop_silent(self, record: FleetRecord) -> FleetRecord:
+        """Return the next record without the members that are silent under `record`.
+
+        The choice is made anew for each record read: after a conflict a member may be
+        heard again, or have become the only live witness.
+        """
+        observer = self._steering.peering.observer
+        silent = observer.choose_removals(self._steering.member.id)
+        if not silent:
+            raise NobodySilent(f'epoch {record.epoch}')
+        log_event('removing', members=','.join(silent), epoch=record.epoch)
+        return remove_member(record, *silent)
+
     def _update(
         self, change: Callable[[FleetRecord], FleetRecord], name: str
     ) -> FleetRecord:
--- a/currantmast/runtime/process.py
+++ b/currantmast/runtime/process.py
@@ -11,6 +11,7 @@
 from gevent.event import Event
 
 from currantmast.clocks import Clock, LoopClock
+from currantmast.decisions.membership import IncarnationReused
 from currantmast.deployment import Configuration
 from currantmast.errors import CurrantmastError, TaskFailed
 from currantmast.messages import Address, Member
@@ -179,6 +180,9 @@
         while not stop.is_set():
             try:
                 self._fleet.join()
+            except IncarnationReused as error:
+                # Others removed this run before it learned that it had joined.
+                raise Removed(self._settings.id) from error
             except CurrantmastError as error:
                 log_event('join_failed', level='WARNING', error=error)
                 self._clock.sleep(JOIN_BACKOFF_S)
