Repair explain, and show drains, slots and refusals in status

Cause: trying the commands as a new user: explain answered 500, since routing rates candidates by weight now and nothing tested the answer; status did not show what was drained; the README needed a running fleet to try it. Change: explain shows weights; status shows drains, free and usable slots, refusals and calls on the store; experiment hold runs a local fleet.

--- a/currantmast/commands/inspection.py
+++ b/currantmast/commands/inspection.py
@@ -8,7 +8,13 @@
 from currantmast.commands.errors import DeploymentRejected
 from currantmast.commands.options import open_store, read_address
 from currantmast.commands.printing import format_table, show_result
-from currantmast.commands.statuses import Report, collect_reports, fetch, read_fleet
+from currantmast.commands.statuses import (
+    Report,
+    Status,
+    collect_reports,
+    fetch,
+    read_fleet,
+)
 from currantmast.errors import TransportError
 from currantmast.inventory import Inventory
 from currantmast.loading import load_deployment
@@ -17,8 +23,17 @@
 from currantmast.validation import list_findings
 
 EXPLAIN_PATH = '/explain'
-HEADINGS = ('instance', 'region', 'version', 'epoch', 'lease', 'role', 'remarks')
-NO_STATUS = ('-', '-', '-', '-')  # Version, epoch, lease and role.
+HEADINGS = (
+    'instance',
+    'region',
+    'version',
+    'epoch',
+    'lease',
+    'role',
+    'free/usable',
+    'remarks',
+)
+NO_STATUS = ('-',) * 5  # Version, epoch, lease, role and slots.
 
 
 class Checked(msgspec.Struct, frozen=True):
@@ -85,9 +100,10 @@
         record = read_fleet(client)
     reports = collect_reports(record)
     heading = f'stored: version {version}, epoch {record.epoch}'
+    drained = list_drained(reports) or '-'
     table = format_table([list(HEADINGS), *(_make_row(report) for report in reports)])
     shown = FleetStatus(version, record.epoch, reports)
-    show_result(shown, f'{heading}\n{table}', as_json)
+    show_result(shown, f'{heading}\ndrained: {drained}\n{table}', as_json)
 
 
 def explain(instance: str, query: dict[str, str], as_json: bool) -> None:
@@ -123,15 +139,38 @@
         str(status.epoch),
         'valid' if status.leased else status.lease_reason,
         status.role,
+        format_slots(status),
         _make_remarks(report),
     ]
 
 
+def format_slots(status: Status) -> str:
+    """Return free and usable slots of each service."""
+    return ' '.join(
+        f'{service}={slots.free}/{slots.usable}'
+        for service, slots in sorted(status.capacity.items())
+    )
+
+
+def format_counts(counts: dict[str, int]) -> str:
+    """Return counts by reason."""
+    return ' '.join(f'{reason}={count}' for reason, count in sorted(counts.items()))
+
+
+def list_drained(reports: tuple[Report, ...]) -> str:
+    """Return what the newest version that an instance reports drains."""
+    statuses = [report.status for report in reports if report.status is not None]
+    newest = max(statuses, key=lambda status: status.version, default=None)
+    return '' if newest is None else ' '.join(newest.drained)
+
+
 def _make_remarks(report: Report) -> str:
     status = report.status
     remarks = [f'removed, lease may be valid: {name}' for name in status.expiring]
     if report.member.leaving:
         remarks.append('leaving')
+    if status.refused:
+        remarks.append(f'refused {format_counts(status.refused)}')
     if status.incarnation != report.member.incarnation:
         remarks.append('restarted, not yet in the record')
     return '; '.join(remarks)
--- a/currantmast/commands/statuses.py
+++ b/currantmast/commands/statuses.py
@@ -1,7 +1,5 @@
 """What instances report of themselves."""
 
-from typing import Any
-
 import msgspec
 from gevent.pool import Pool
 
@@ -17,6 +15,14 @@
 PARALLEL_CALLS = 32
 
 
+class Slots(msgspec.Struct, frozen=True):
+    """Slots of one service at the targets that an instance owns."""
+
+    free: int
+    usable: int
+    queued: int
+
+
 class Status(msgspec.Struct, frozen=True):
     """The status of an instance, as far as commands use it.
 
@@ -34,10 +40,9 @@
     lease_reason: str = ''
     role: str = ''
     expiring: tuple[str, ...] = ()
-    capacity: dict[str, Any] = {}
+    capacity: dict[str, Slots] = {}
     refused: dict[str, int] = {}
     drained: tuple[str, ...] = ()
-    store_calls: int = 0
 
 
 class Report(msgspec.Struct, frozen=True):
--- a/currantmast/experiment/demo.py
+++ b/currantmast/experiment/demo.py
@@ -2,8 +2,11 @@
 
 import sys
 
+import gevent
+
 from currantmast.deployment import PolicyKind
 from currantmast.experiment.disturbances import Fault
+from currantmast.experiment.fleet import LocalFleet
 from currantmast.experiment.reports import (
     Report,
     encode_report,
@@ -14,6 +17,7 @@
 from currantmast.experiment.slopes import SlopeCommands
 
 DEMO_SECONDS = 15
+HOLD_S = 600
 DEMO_RATE = 200
 """Calls per second that nine instances and their targets share on one machine of 10 cores."""
 
@@ -101,6 +105,40 @@
         )
         _finish(run_experiment(settings), json)
 
+    def hold(self, deployment_dir: str, seconds: float = HOLD_S, seed: int = 1) -> None:
+        """Run a local fleet for trying out commands, and print how to reach it.
+
+        Parameters
+        ----------
+        deployment_dir : str
+            Directory of the deployment.
+        seconds : float
+            Time until the fleet is ended.
+        seed : int
+            Seed of keys and service times.
+        """
+        with LocalFleet(deployment_dir, seed) as fleet:
+            sys.stdout.write(describe_fleet(fleet))
+            sys.stdout.flush()
+            gevent.sleep(seconds)
+
+
+def describe_fleet(fleet: LocalFleet) -> str:
+    """Return one line for each thing that a user needs to reach `fleet`."""
+    team, key = next(iter(fleet.plan.keys.items()))
+    lines = [
+        f'store={fleet.plan.store}',
+        f'deployment={fleet.directory / "deployment"}',
+        f'logs={fleet.directory}',
+        f'team={team} key={key}',
+    ]
+    lines += [
+        f'instance={plan.id} public={plan.public}' for plan in fleet.plan.instances
+    ]
+    host = fleet.plan.hosts[0]
+    lines.append(f'target={host.targets[0].address}')
+    return '\n'.join([*lines, ''])
+
 
 def _finish(report: Report, json: bool) -> None:
     text = encode_report(report) if json else format_report(report)
--- a/currantmast/runtime/explaining.py
+++ b/currantmast/runtime/explaining.py
@@ -16,7 +16,7 @@
 
 
 class Candidate(msgspec.Struct, frozen=True):
-    """One owner as routing rates it; `cost` is None where it is infinite."""
+    """One owner as routing rates it; `delay_ms` is None where no link leads to it."""
 
     owner: str
     region: str
@@ -25,7 +25,7 @@
     queued: int
     age_s: float
     delay_ms: float | None
-    cost: float | None
+    weight: float
     obstacle: str
 
 
@@ -107,6 +107,6 @@
         queued=view.queued,
         age_s=view.age_s,
         delay_ms=None if score.delay_s == infinite else score.delay_s * MS_PER_S,
-        cost=None if score.cost == infinite else score.cost,
+        weight=score.weight,
         obstacle=score.obstacle,
     )
--- a/currantmast/runtime/process.py
+++ b/currantmast/runtime/process.py
@@ -82,7 +82,7 @@
             )
         )
         # Claims have calls of their own, so that a handover starves no watch or lease.
-        claim_client = open_context(
+        self._claim_client = open_context(
             ObjectClient(
                 settings.store, clock, settings.claim_calls_per_s, caller=settings.id
             )
@@ -95,12 +95,12 @@
             self._steering, self._client, self._fleet, self._connections
         )
         self._claims = ClaimDesk(
-            self._steering, claim_client, self._connections, self._find_peer
+            self._steering, self._claim_client, self._connections, self._find_peer
         )
         owner = Owner(self._steering, self._connections, self._claims)
         peers = PeerSender(self._steering, self._connections, self._find_peer)
         entry = Entry(self._steering, owner, peers, self._metrics)
-        self._public_app = PublicApp(self._steering, entry)
+        self._public_app = PublicApp(self._steering, entry, self._count_calls)
         self._peer_app = PeerApp(self._steering, owner, self._claims)
 
     def __enter__(self) -> Self:
@@ -170,6 +170,10 @@
             control=self._link.address,
         )
 
+    def _count_calls(self) -> int:
+        clients = (self._client, self._claim_client)
+        return sum(client.budget.counts.total() for client in clients)
+
     def _find_peer(self, member_id: str) -> Address | None:
         for member in self._steering.peering.observer.list_unexpired():
             if member.id == member_id:
--- a/currantmast/runtime/publicapp.py
+++ b/currantmast/runtime/publicapp.py
@@ -1,5 +1,6 @@
 """What an instance serves to callers and operators."""
 
+from collections.abc import Callable
 from urllib.parse import unquote
 
 from currantmast.outcomes import NotRun, Reason
@@ -26,13 +27,18 @@
         Decisions of this instance.
     entry : Entry
         Serves requests for services.
+    count_calls : callable
+        Returns the calls made on the object API.
     """
 
-    __slots__ = ('_entry', '_steering', 'is_leaving')
+    __slots__ = ('_count_calls', '_entry', '_steering', 'is_leaving')
 
-    def __init__(self, steering: Steering, entry: Entry) -> None:
+    def __init__(
+        self, steering: Steering, entry: Entry, count_calls: Callable[[], int]
+    ) -> None:
         self._steering = steering
         self._entry = entry
+        self._count_calls = count_calls
         self.is_leaving = False
 
     def respond(self, inbound: Inbound) -> Answer:
@@ -50,7 +56,9 @@
             case '/health/ready':
                 return Answer(OK if self._is_ready() else UNAVAILABLE)
             case '/status':
-                return encode_json(OK, describe_status(self._steering))
+                return encode_json(
+                    OK, describe_status(self._steering, self._count_calls())
+                )
             case '/explain':
                 return respond_explain(self._steering, inbound)
         return Answer(NOT_FOUND)
--- a/currantmast/runtime/status.py
+++ b/currantmast/runtime/status.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from currantmast.decisions.membership import get_key
-from currantmast.messages import Capacity, Member
+from currantmast.messages import Member
 from currantmast.steering import Steering
 
 
@@ -18,6 +18,14 @@
     leaving: bool
 
 
+class CapacityStatus(msgspec.Struct, frozen=True):
+    """Slots of one service at the owned targets, and requests that wait for them."""
+
+    free: int
+    usable: int
+    queued: int
+
+
 class Status(msgspec.Struct, frozen=True):
     """State of one instance.
 
@@ -44,15 +52,24 @@
     role: str
     members: tuple[MemberStatus, ...]
     expiring: tuple[str, ...]
-    capacity: dict[str, Capacity]
+    capacity: dict[str, CapacityStatus]
     refused: dict[str, int]
     drained: tuple[str, ...]
     suspects: dict[str, str]
     shares: dict[str, tuple[float, float]]
+    store_calls: int
+
 
+def describe_status(steering: Steering, store_calls: int) -> Status:
+    """Return the status of the instance that `steering` decides for.
 
-def describe_status(steering: Steering) -> Status:
-    """Return the status of the instance that `steering` decides for."""
+    Parameters
+    ----------
+    steering : Steering
+        Decisions of the instance.
+    store_calls : int
+        Calls that it has made on the object API.
+    """
     peering = steering.peering
     listed = {get_key(member) for member in peering.record.members}
     unexpired = peering.observer.list_unexpired()
@@ -71,7 +88,10 @@
         expiring=tuple(
             member.id for member in unexpired if get_key(member) not in listed
         ),
-        capacity={entry.service: entry for entry in steering.placement.list_capacity()},
+        capacity={
+            entry.service: CapacityStatus(entry.free, entry.usable, entry.queued)
+            for entry in steering.placement.list_capacity()
+        },
         refused=dict(steering.refused),
         drained=operations.drained if operations else (),
         suspects={
@@ -82,6 +102,7 @@
             share.budget: (share.rate, share.burst)
             for share in peering.shares.list_held()
         },
+        store_calls=store_calls,
     )
 
 
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -224,7 +224,8 @@
     code, out, _ = run('status', wait_s=None)
     assert code == 0
     assert out.splitlines()[0] == 'stored: version 1, epoch 7'
-    assert out.splitlines()[2].split()[:5] == ['north-1', 'north', '1', '7', 'valid']
+    assert out.splitlines()[1] == 'drained: -'
+    assert out.splitlines()[3].split()[:5] == ['north-1', 'north', '1', '7', 'valid']
     instance.server.stop()
     code, out, _ = run('status', '--json', wait_s=None)
     assert json.loads(out)['instances'][0]['status'] is None
