Read the claim log again when a write's outcome is unknown

Cause: in the whole suite one race of two owners with lost answers ended without a fresh claim (test_racing_owners_yield_one_fresh_claim, 0 == 1): the other owner had appended to the segment after the write whose answer was lost, and its claims were refused as unavailable though they were in the log. Change: such a write is treated as a conflict: the log is read and the operations are appended again, which changes nothing if they are there already. Ruled out: a second execution (no result was fresh, and the attempt gave up).

--- a/currantmast/runtime/claims.py
+++ b/currantmast/runtime/claims.py
@@ -11,7 +11,7 @@
 from currantmast.decisions.claimrecords import RecordedAnswer, Unavailable
 from currantmast.decisions.claims import ClaimLog, Decision, Pending
 from currantmast.decisions.claimsegments import SegmentUpdate
-from currantmast.errors import CurrantmastError, StoreConflict
+from currantmast.errors import CurrantmastError, StoreConflict, StoreOutcomeUnknown
 from currantmast.outcomes import NotRun
 from currantmast.runtime.claimstore import SegmentStore
 from currantmast.runtime.logs import log_event
@@ -210,8 +210,10 @@
     def _write(self, update: SegmentUpdate) -> None:
         try:
             self._segments.write(update)
-        except StoreConflict as conflict:
-            # Another owner appended first: read its batches, then try again.
+        except (StoreConflict, StoreOutcomeUnknown) as conflict:
+            # Another owner appended, before or after this update may have taken effect:
+            # read its batches, then try again. Operations that are in the log already
+            # change nothing the second time.
             log_event('claim_conflict', error=conflict)
             self._log.reject()
         except Exception:
