--- a/currantmast/runtime/beating.py
+++ b/currantmast/runtime/heartbeats.py
@@ -11,7 +11,7 @@
     Member,
 )
 from currantmast.runtime.control import ControlLink
-from currantmast.runtime.following import Follower
+from currantmast.runtime.followers import Follower
 from currantmast.runtime.logs import log_event
 from currantmast.settings import InstanceSettings
 from currantmast.steering import Steering
--- a/currantmast/runtime/peerapp.py
+++ b/currantmast/runtime/peerapp.py
@@ -8,7 +8,7 @@
 from currantmast.outcomes import NotRun, Reason
 from currantmast.publication import encode_configuration
 from currantmast.runtime.answers import make_answer
-from currantmast.runtime.claiming import ClaimDesk
+from currantmast.runtime.claimdesks import ClaimDesk
 from currantmast.runtime.hops import HEAD_BYTES, LINK_POLL_S
 from currantmast.runtime.logs import log_event
 from currantmast.runtime.owner import Owner
--- a/currantmast/runtime/process.py
+++ b/currantmast/runtime/process.py
@@ -16,19 +16,19 @@
 from currantmast.errors import CurrantmastError, TaskFailed
 from currantmast.messages import Address, Member
 from currantmast.publication import HEAD
-from currantmast.runtime.beating import HeartbeatTask
-from currantmast.runtime.claiming import ClaimDesk
+from currantmast.runtime.claimdesks import ClaimDesk
 from currantmast.runtime.control import ControlLink
 from currantmast.runtime.entry import Entry
 from currantmast.runtime.fleet import FLEET, FleetStore
-from currantmast.runtime.following import Follower, obtain_configuration
+from currantmast.runtime.followers import Follower, obtain_configuration
 from currantmast.runtime.forwarding import Connections
+from currantmast.runtime.heartbeats import HeartbeatTask
 from currantmast.runtime.hops import PeerSender
+from currantmast.runtime.loadpolls import LoadPoller
 from currantmast.runtime.logs import configure_logs, log_event
 from currantmast.runtime.metrics import Metrics
 from currantmast.runtime.owner import Owner
 from currantmast.runtime.peerapp import PeerApp
-from currantmast.runtime.polling import LoadPoller
 from currantmast.runtime.publicapp import PublicApp
 from currantmast.runtime.servers import HttpServer
 from currantmast.runtime.store import ObjectClient
--- a/currantmast/runtime/publicapp.py
+++ b/currantmast/runtime/publicapp.py
@@ -6,7 +6,7 @@
 from currantmast.outcomes import NotRun, Reason
 from currantmast.runtime.answers import encode_refusal
 from currantmast.runtime.entry import Entry
-from currantmast.runtime.explaining import respond_explain
+from currantmast.runtime.explanations import respond_explain
 from currantmast.runtime.servers import Answer, Inbound, encode_json
 from currantmast.runtime.status import describe_status
 from currantmast.steering import Steering
