--- a/currantmast/experiment/controlslopes.py
+++ b/currantmast/experiment/controlslopes.py
@@ -230,8 +230,8 @@
         _time(lambda: steering.peering.observer.choose_removals(first)) * MS_PER_S,
         _time_settled(members) * MS_PER_S,
         _time_confirmations(members) * MS_PER_S,
-        len(msgspec.json.encode(describe_status(steering))),
-        _time(lambda: msgspec.json.encode(describe_status(steering))) * MS_PER_S,
+        len(msgspec.json.encode(describe_status(steering, 0))),
+        _time(lambda: msgspec.json.encode(describe_status(steering, 0))) * MS_PER_S,
     ]
 
 
--- a/currantmast/experiment/httpslopes.py
+++ b/currantmast/experiment/httpslopes.py
@@ -61,7 +61,7 @@
 
     def __init__(self, steering: Steering, blocks: int) -> None:
         self._steering = steering
-        self._app = PublicApp(steering, None)
+        self._app = PublicApp(steering, None, int)
         pages = list_pages(make_deployment(blocks))
         self._pages = [_page_encoder.encode(page) for page in pages]
 
