--- a/currantmast/runtime/control.py
+++ b/currantmast/runtime/control.py
@@ -1,5 +1,6 @@
 """The control link: typed messages between instances over pynng."""
 
+from collections import deque
 from collections.abc import Mapping
 from typing import Self
 
@@ -36,6 +37,16 @@
         lib.nng_init_set_parameter(parameter, TASK_THREADS)
 
 
+# Closed sockets are kept for a while: a worker thread of the library may still call
+# back into a socket that has just been closed, and must not find it collected.
+_retired: deque[pynng.Push0] = deque(maxlen=256)
+
+
+def _retire(socket: pynng.Push0) -> None:
+    socket.close()
+    _retired.append(socket)
+
+
 class ControlLink:
     """Owns the sockets that carry control messages.
 
@@ -85,7 +96,7 @@
     def dial_peers(self, peers: Mapping[str, Address]) -> None:
         """Dial exactly `peers`, by instance id."""
         for gone in set(self._sockets) - set(peers):
-            self._sockets.pop(gone).close()
+            _retire(self._sockets.pop(gone))
         for peer_id, address in peers.items():
             if self._peers.get(peer_id) != address or peer_id not in self._sockets:
                 self._dial(peer_id, address)
@@ -135,7 +146,7 @@
     def _dial(self, peer_id: str, address: Address) -> None:
         previous = self._sockets.pop(peer_id, None)
         if previous is not None:
-            previous.close()
+            _retire(previous)
         socket = pynng.Push0(
             send_buffer_size=SEND_BUFFER_MESSAGES,
             reconnect_time_min=100,
