End a done request before retries are weighed, and drop an unused count

Cause: the read-through: every answered request computed the views and headroom of all owners a second time, only to learn that a done request is not repeated; TargetTable.count_running had no caller. Ruled out: a change of behaviour (choose_retry returns Stop for Done). Measured: test_path.py, test_retries.py and test_slots.py 19 passed; linters are clean.

--- a/currantmast/runtime/entry.py
+++ b/currantmast/runtime/entry.py
@@ -145,6 +145,8 @@
             if isinstance(route, NotRun):
                 return WorkAnswer(route)
             answer = self._attempt(trip, route)
+            if isinstance(answer.outcome, Done):
+                return answer
             trip.tried = (*trip.tried, route.owner_id)
             self._note_crash(trip, answer.outcome)
             match choose_retry(
--- a/currantmast/target_table.py
+++ b/currantmast/target_table.py
@@ -115,11 +115,6 @@
             for target_id, slots in self._former.items()
         )
 
-    def count_running(self) -> int:
-        """Return the requests that run on targets now."""
-        everyone = (*self._owned.values(), *self._former.values())
-        return sum(slots.count_running() for slots in everyone)
-
     def _assign(self) -> None:
         if self._inventory is None:
             return
