--- a/currantmast/runtime/entry.py
+++ b/currantmast/runtime/entry.py
@@ -1,33 +1,23 @@
 """The entry's side of a request: admission, routing, forwarding, the answer."""
 
 import secrets
-from collections.abc import Callable, Iterator
-from urllib.parse import quote
 
 import msgspec
 
 from currantmast.decisions.admission import AdmissionRequest, Admitted
-from currantmast.decisions.links import LinkReservation
 from currantmast.decisions.retries import Attempt, Retry, Stop, choose_retry
 from currantmast.decisions.routing import Route, RouteRequest, count_headroom
 from currantmast.decisions.suspects import State
-from currantmast.errors import (
-    AnswerIncomplete,
-    CurrantmastError,
-    NothingSent,
-    ProgressTimeout,
-    TransportError,
-)
-from currantmast.messages import Address, Suspect
+from currantmast.messages import Suspect
 from currantmast.outcomes import (
     Done,
     NotRun,
     Outcome,
     OutcomeUnknown,
     Reason,
-    choose_status,
 )
-from currantmast.runtime.forwarding import Connections, HopAnswer, HopRequest
+from currantmast.runtime.answers import make_answer, name_outcome
+from currantmast.runtime.hops import PeerSender, Trip
 from currantmast.runtime.logs import log_event
 from currantmast.runtime.metrics import Metrics
 from currantmast.runtime.owner import Owner, identify
@@ -36,46 +26,18 @@
     Answer,
     BodyBroken,
     Inbound,
-    encode_json,
 )
-from currantmast.steering import Origin, Steering
+from currantmast.steering import Steering
 from currantmast.work import Work, WorkAnswer, filter_headers
 
 MS_PER_S = 1000
 REQUEST_ID_BYTES = 8
-LINK_POLL_S = 0.01
 RATE_POLL_S = 0.02
 FIRST_ATTEMPT_PART = 0.5
 MIN_RETRY_S = 0.05
 # Requests of one instance that may wait for their team's share at once.
 MAX_RATE_WAITERS = 64
-# Bytes of a request line and headers, counted against a link besides the body.
-HEAD_BYTES = 512
 BEARER = 'bearer '
-DONE_LABEL = 'done'
-NOT_RUN_LABEL = 'not-run'
-UNKNOWN_LABEL = 'unknown'
-
-
-class LinkFull(CurrantmastError):
-    """The share of a link had no room for a body before its deadline."""
-
-
-class Refusal(msgspec.Struct, frozen=True):
-    """Body of an answer to a request without a target's answer."""
-
-    outcome: str
-    reason: str
-    detail: str
-
-
-class Trip(msgspec.Struct):
-    """An admitted request with where it comes from and which owners were tried."""
-
-    work: Work
-    origin: Origin
-    tried: tuple[str, ...] = ()
-    body_begun: bool = False
 
 
 class Entry:
@@ -87,35 +49,24 @@
         Decisions of this instance.
     owner : Owner
         Runs work on the targets of this instance.
-    connections : Connections
-        Pooled connections to peers.
-    find_peer : callable
-        Returns the address of a peer's work port by its id, or None.
+    peers : PeerSender
+        Sends work to the owners at other instances.
     metrics : Metrics
         Receives latencies and outcomes.
     """
 
-    __slots__ = (
-        '_connections',
-        '_find_peer',
-        '_metrics',
-        '_owner',
-        '_rate_waiters',
-        '_steering',
-    )
+    __slots__ = ('_metrics', '_owner', '_peers', '_rate_waiters', '_steering')
 
     def __init__(
         self,
         steering: Steering,
         owner: Owner,
-        connections: Connections,
-        find_peer: Callable[[str], Address | None],
+        peers: PeerSender,
         metrics: Metrics,
     ) -> None:
         self._steering = steering
         self._owner = owner
-        self._connections = connections
-        self._find_peer = find_peer
+        self._peers = peers
         self._metrics = metrics
         self._rate_waiters = 0
 
@@ -241,90 +192,12 @@
         if route.owner_id == self._steering.member.id:
             answer = self._owner.run(work)
         else:
-            answer = self._send(trip, work, route)
+            answer = self._peers.send(trip, work, route)
         if isinstance(answer.outcome, Done):
             self._steering.note_duration(work.service.id, clock.now() - started)
         time_left_s = trip.work.deadline_at - clock.now()
         return _mark_stalled(answer, time_left_s)
 
-    def _send(self, trip: Trip, work: Work, route: Route) -> WorkAnswer:
-        address = self._find_peer(route.owner_id)
-        if address is None:
-            return WorkAnswer(NotRun(Reason.unreachable, 'the peer has left'))
-        service = work.service.id
-        self._steering.views.note_sent(route.owner_id, service)
-        try:
-            return self._forward(trip, work, route, address)
-        finally:
-            self._steering.views.note_ended(route.owner_id, service)
-
-    def _forward(
-        self, trip: Trip, work: Work, route: Route, address: Address
-    ) -> WorkAnswer:
-        remaining_s = min(
-            work.deadline_at - self._steering.clock.now(), route.timeout_s
-        )
-        member = self._steering.member
-        try:
-            with LinkReservation(
-                self._steering.shares, member.region, route.region
-            ) as link:
-                request = self._make_hop(trip, work, link, remaining_s)
-                answer = self._connections.exchange(address, request, remaining_s)
-        except (LinkFull, BodyBroken, TransportError) as error:
-            return WorkAnswer(_explain_failure(error, trip))
-        return decode_answer(answer, work.request_id)
-
-    def _make_hop(
-        self, trip: Trip, work: Work, link: LinkReservation, remaining_s: float
-    ) -> HopRequest:
-        self._reserve(link, HEAD_BYTES, work.deadline_at)
-        if isinstance(work.body, bytes):
-            self._reserve_all(link, work.length, work.deadline_at)
-            body = work.body
-        else:
-            body = self._meter_body(trip, work.body, link)
-        return HopRequest(
-            method=work.method,
-            path=f'/work/{quote(work.service.id)}{work.path}',
-            headers=_make_hop_headers(work, remaining_s),
-            body=body,
-            length=work.length,
-            fresh=not work.service.idempotent,
-            ask_first=not work.replayable,
-        )
-
-    def _meter_body(
-        self, trip: Trip, chunks: Iterator[bytes], link: LinkReservation
-    ) -> Iterator[bytes]:
-        """Yield the body as fast as the share of the link allows."""
-        trip.body_begun = True
-        for chunk in chunks:
-            position = 0
-            while position < len(chunk):
-                size = self._reserve(link, len(chunk) - position, trip.work.deadline_at)
-                yield chunk[position : position + size]
-                link.confirm(size)
-                position += size
-
-    def _reserve_all(
-        self, link: LinkReservation, size: int, deadline_at: float
-    ) -> None:
-        reserved = 0
-        while reserved < size:
-            reserved += self._reserve(link, size - reserved, deadline_at)
-        link.confirm(link.reserved)
-
-    def _reserve(self, link: LinkReservation, size: int, deadline_at: float) -> int:
-        clock = self._steering.clock
-        while True:
-            reserved = link.reserve(size)
-            if reserved or not size:
-                return reserved
-            if clock.now() >= deadline_at:
-                raise LinkFull('no room before the deadline')
-            clock.sleep(LINK_POLL_S)
-
     def _describe_attempt(self, trip: Trip, answer: WorkAnswer) -> Attempt:
         work = trip.work
         views = self._steering.list_views(work.service.id)
@@ -400,55 +273,6 @@
     )
 
 
-def name_outcome(outcome: Outcome) -> str:
-    """Return the value of the ``Outcome`` header."""
-    match outcome:
-        case Done():
-            return DONE_LABEL
-        case NotRun():
-            return NOT_RUN_LABEL
-        case OutcomeUnknown():
-            return UNKNOWN_LABEL
-
-
-def make_answer(answer: WorkAnswer, request_id: str) -> Answer:
-    """Return the HTTP answer that tells a caller or peer how work ended."""
-    outcome = answer.outcome
-    label = name_outcome(outcome)
-    marks = (('Outcome', label), ('Request-Id', request_id))
-    status = choose_status(outcome)
-    match outcome:
-        case Done():
-            return Answer(status, (*answer.headers, *marks), answer.body)
-        case NotRun(reason, detail) | OutcomeUnknown(reason, detail):
-            return encode_json(status, Refusal(label, reason.value, detail), *marks)
-
-
-def decode_answer(answer: HopAnswer, request_id: str) -> WorkAnswer:
-    """Return how a peer says that the work `request_id` ended.
-
-    An answer that does not name the request belongs to another one, and says nothing
-    about this one.
-    """
-    label = answer.get_header('Outcome')
-    if answer.get_header('Request-Id') != request_id or label is None:
-        if not answer.body_sent:
-            return WorkAnswer(NotRun(Reason.unreachable, f'status {answer.status}'))
-        return WorkAnswer(OutcomeUnknown(Reason.connection_lost, 'foreign answer'))
-    if label == DONE_LABEL:
-        headers = tuple(
-            (name, text)
-            for name, text in answer.headers
-            if name.lower() not in {'outcome', 'request-id', 'content-length', 'date'}
-        )
-        return WorkAnswer(Done(answer.status), headers, answer.body)
-    refusal = msgspec.json.decode(answer.body, type=Refusal)
-    reason = Reason(refusal.reason)
-    if label == NOT_RUN_LABEL:
-        return WorkAnswer(NotRun(reason, refusal.detail))
-    return WorkAnswer(OutcomeUnknown(reason, refusal.detail))
-
-
 def _waits_for_rate(admitted: Admitted | NotRun) -> bool:
     return isinstance(admitted, NotRun) and admitted.reason is Reason.rate_exceeded
 
@@ -478,33 +302,3 @@
         return float(int(text)) / MS_PER_S
     except ValueError as error:
         raise ValueError('Deadline-Ms: allowed: whole milliseconds') from error
-
-
-def _make_hop_headers(work: Work, remaining_s: float) -> tuple[tuple[str, str], ...]:
-    marks = [
-        ('Deadline-Ms', str(int(remaining_s * MS_PER_S))),
-        ('Request-Id', work.request_id),
-        ('Entry', work.entry),
-        ('Entry-Region', work.entry_region),
-    ]
-    if work.team is not None:
-        marks.append(('Team', work.team))
-    if work.request_key is not None:
-        marks.append(('Request-Key', work.request_key))
-    if work.suspicion:
-        marks.append(('Suspicion', work.suspicion))
-    return (*work.headers, *marks)
-
-
-def _explain_failure(error: CurrantmastError, trip: Trip) -> Outcome:
-    match error:
-        case NothingSent():
-            return NotRun(Reason.unreachable, str(error))
-        case LinkFull() if not trip.body_begun:
-            return NotRun(Reason.link_full, str(error))
-        case ProgressTimeout():
-            return OutcomeUnknown(Reason.deadline, 'the peer made no progress')
-        case AnswerIncomplete():
-            return OutcomeUnknown(Reason.answer_incomplete, str(error))
-        case _:
-            return OutcomeUnknown(Reason.connection_lost, str(error))
--- a/currantmast/runtime/explaining.py
+++ b/currantmast/runtime/explaining.py
@@ -6,8 +6,8 @@
 
 from currantmast.decisions.routing import Route, RouteRequest, Score
 from currantmast.deployment import Service
-from currantmast.outcomes import NotRun, Reason, choose_status
-from currantmast.runtime.entry import Refusal
+from currantmast.outcomes import NotRun, Reason
+from currantmast.runtime.answers import encode_refusal
 from currantmast.runtime.servers import Answer, Inbound, encode_json
 from currantmast.steering import Origin, Steering
 
@@ -57,12 +57,6 @@
     return encode_json(OK, _explain(steering, service, origin, request))
 
 
-def encode_refusal(refusal: NotRun) -> Answer:
-    """Return the answer that tells a caller of `refusal`."""
-    body = Refusal('not-run', refusal.reason.value, refusal.detail)
-    return encode_json(choose_status(refusal), body, ('Outcome', 'not-run'))
-
-
 def _make_request(
     steering: Steering, service: Service, origin: Origin, team: str
 ) -> RouteRequest:
--- a/currantmast/runtime/peerapp.py
+++ b/currantmast/runtime/peerapp.py
@@ -7,8 +7,9 @@
 from currantmast.decisions.links import LinkReservation
 from currantmast.outcomes import NotRun, Reason
 from currantmast.publication import encode_configuration
+from currantmast.runtime.answers import make_answer
 from currantmast.runtime.claiming import ClaimDesk
-from currantmast.runtime.entry import HEAD_BYTES, LINK_POLL_S, make_answer
+from currantmast.runtime.hops import HEAD_BYTES, LINK_POLL_S
 from currantmast.runtime.logs import log_event
 from currantmast.runtime.owner import Owner
 from currantmast.runtime.servers import (
--- a/currantmast/runtime/process.py
+++ b/currantmast/runtime/process.py
@@ -23,6 +23,7 @@
 from currantmast.runtime.fleet import FLEET, FleetStore
 from currantmast.runtime.following import Follower, obtain_configuration
 from currantmast.runtime.forwarding import Connections
+from currantmast.runtime.hops import PeerSender
 from currantmast.runtime.logs import configure_logs, log_event
 from currantmast.runtime.metrics import Metrics
 from currantmast.runtime.owner import Owner
@@ -97,9 +98,8 @@
             self._steering, claim_client, self._connections, self._find_peer
         )
         owner = Owner(self._steering, self._connections, self._claims)
-        entry = Entry(
-            self._steering, owner, self._connections, self._find_peer, self._metrics
-        )
+        peers = PeerSender(self._steering, self._connections, self._find_peer)
+        entry = Entry(self._steering, owner, peers, self._metrics)
         self._public_app = PublicApp(self._steering, entry)
         self._peer_app = PeerApp(self._steering, owner, self._claims)
 
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -7,7 +7,7 @@
 from currantmast.deployment import Configuration, Timing
 from currantmast.messages import Address, Member
 from currantmast.outcomes import Done, NotRun, OutcomeUnknown
-from currantmast.runtime.entry import decode_answer
+from currantmast.runtime.answers import decode_answer
 from currantmast.runtime.forwarding import HopAnswer
 from currantmast.steering import Steering
 
