--- a/currantmast/runtime/hops.py
+++ b/currantmast/runtime/hops.py
@@ -106,7 +106,7 @@
             body = self._meter_body(trip, work.body, link)
         return HopRequest(
             method=work.method,
-            path=f'/work/{quote(work.service.id)}{work.path}',
+            path=f'/requests/{quote(work.service.id)}{work.path}',
             headers=_make_hop_headers(work, remaining_s),
             body=body,
             length=work.length,
--- a/currantmast/runtime/peerapp.py
+++ b/currantmast/runtime/peerapp.py
@@ -23,7 +23,7 @@
 
 MS_PER_S = 1000
 NOT_FOUND = Answer(404)
-WORK_PREFIX = '/work/'
+WORK_PREFIX = '/requests/'
 
 
 class PeerApp:
