--- a/currantmast/clocks.py
+++ b/currantmast/clocks.py
@@ -84,3 +84,17 @@
     def __repr__(self) -> str:
         """Return the current time."""
         return f'<ManualClock now={self._now:.3f}>'
+
+
+class BootClock(LoopClock):
+    """Clock of the event loop that also counts the time of a suspension."""
+
+    __slots__ = ()
+
+    def now(self) -> float:
+        """Return seconds since the machine started, suspended or not."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+    def __repr__(self) -> str:
+        """Return a short description."""
+        return '<BootClock>'
--- a/currantmast/commands/__init__.py
+++ b/currantmast/commands/__init__.py
@@ -46,6 +46,10 @@
         """Run an instance until SIGTERM; SETTINGS is its YAML file."""
         return Task(lambda: processes.run_instance(settings))
 
+    def platform(self) -> Task:
+        """Run an instance on the users' platform until SIGTERM."""
+        return Task(processes.run_platform)
+
     @take_texts('directory')
     def check(self, directory: str, *, json: bool = False) -> Task:
         """Check the deployment in DIRECTORY without publishing it.
--- a/currantmast/commands/processes.py
+++ b/currantmast/commands/processes.py
@@ -46,3 +46,14 @@
     """
     run = load('currantmast.runtime.process', 'run_instance')
     sys.exit(run(load_settings(path)))
+
+
+def run_platform() -> None:
+    """Run an instance on the platform, then end with its exit code.
+
+    Raises
+    ------
+    SettingsError
+        If the settings file is missing or rejected.
+    """
+    sys.exit(load('currantmast.platform.adapter', 'run_platform')())
--- /dev/null
+++ b/currantmast/direct/__init__.py
@@ -0,0 +1,1 @@
+"""Direct steering: every instance sends requests straight to targets."""
--- /dev/null
+++ b/currantmast/direct/configurations.py
@@ -0,0 +1,99 @@
+"""The configuration in force and how requests match it."""
+
+from collections.abc import Iterable
+
+from currantmast.direct.model import Configuration, Part, Route, Team
+
+
+class RouteTable:
+    """Routes by host and longest path prefix.
+
+    Parameters
+    ----------
+    routes : iterable of Route
+        All routes of one configuration.
+    """
+
+    __slots__ = ('_by_host',)
+
+    def __init__(self, routes: Iterable[Route]) -> None:
+        self._by_host: dict[str, list[Route]] = {}
+        for route in sorted(routes, key=lambda known: -len(known.prefix)):
+            self._by_host.setdefault(route.host, []).append(route)
+
+    def __repr__(self) -> str:
+        """Return the number of hosts."""
+        return f'<RouteTable hosts={len(self._by_host)}>'
+
+    def match(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of `path`, or None."""
+        for route in self._by_host.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+
+class PartPicker:
+    """Spreads the requests of each route over its parts by weight.
+
+    Smooth weighted round robin: over any stretch each part's share differs from its
+    weight by less than one request.
+    """
+
+    __slots__ = ('_credits',)
+
+    def __init__(self) -> None:
+        self._credits: dict[str, dict[str, float]] = {}
+
+    def __repr__(self) -> str:
+        """Return the number of routes with several parts."""
+        return f'<PartPicker routes={len(self._credits)}>'
+
+    def pick(self, route: Route) -> Part:
+        """Return the part for the next request of `route`."""
+        if len(route.parts) == 1:
+            return route.parts[0]
+        credits = self._credits.setdefault(route.name, {})
+        total = sum(part.weight for part in route.parts)
+        for part in route.parts:
+            credits[part.service] = credits.get(part.service, 0) + part.weight
+        chosen = max(route.parts, key=lambda part: credits[part.service])
+        credits[chosen.service] -= total
+        return chosen
+
+
+class CurrentConfiguration:
+    """The newest configuration seen in this run; never goes back."""
+
+    __slots__ = ('_routes', 'value')
+
+    def __init__(self) -> None:
+        self.value: Configuration | None = None
+        self._routes = RouteTable(())
+
+    def __repr__(self) -> str:
+        """Return the version."""
+        return f'<CurrentConfiguration version={self.version}>'
+
+    @property
+    def version(self) -> int:
+        """Version in force; 0 before the first."""
+        return 0 if self.value is None else self.value.version
+
+    def adopt(self, configuration: Configuration) -> bool:
+        """Put `configuration` in force; return False when it isn't newer."""
+        if self.value is not None and configuration.version <= self.version:
+            return False
+        self.value = configuration
+        self._routes = RouteTable(configuration.routes)
+        return True
+
+    def match(self, host: str, path: str) -> Route | None:
+        """Return the route of a request, or None."""
+        return self._routes.match(host, path)
+
+    def find_team(self, key: str) -> Team | None:
+        """Return the team that holds `key`, or None."""
+        if self.value is None:
+            return None
+        return self.value.teams.get(self.value.keys.get(key, ''))
--- /dev/null
+++ b/currantmast/direct/following.py
@@ -0,0 +1,250 @@
+"""Following the store: lists and watches that keep the beliefs of an instance fresh."""
+
+from collections.abc import Callable
+from enum import Enum
+from typing import Any, Protocol
+
+import msgspec
+
+from currantmast.clocks import Clock
+from currantmast.errors import StoreError, WatchExpired
+from currantmast.runtime.logs import log_event
+
+FIRST_BACKOFF_S = 0.2
+LAST_BACKOFF_S = 1.0
+
+# Seconds after the store's return within which entries that lapsed meanwhile come back;
+# what is missing after that is gone.
+LAPSE_S = 2.2
+
+# Seconds after a failure of the store for which a removal may be a lapse.
+LAPSE_WATCH_S = 6.0
+
+
+class Topic(Enum):
+    """What the store tells."""
+
+    configuration = 'configuration'
+    targets = 'targets'
+    evacuations = 'evacuations'
+    instances = 'instances'
+
+
+class Pace(msgspec.Struct, frozen=True):
+    """How a topic is watched.
+
+    Parameters
+    ----------
+    wait_s : float
+        Longest time in seconds that one watch waits for a change.
+    gather_s : float
+        Pause in seconds after a change, so that one call brings several.
+    """
+
+    wait_s: float
+    gather_s: float
+
+
+PACES = {
+    Topic.configuration: Pace(wait_s=1.5, gather_s=0.1),
+    Topic.targets: Pace(wait_s=3.0, gather_s=0.3),
+    Topic.evacuations: Pace(wait_s=4.0, gather_s=0.3),
+    Topic.instances: Pace(wait_s=5.0, gather_s=0.5),
+}
+
+
+class Unusable(msgspec.Struct, frozen=True):
+    """An entry that can't be understood; it names nothing to use."""
+
+    reason: str
+
+
+class Entry(msgspec.Struct, frozen=True):
+    """A named thing of a topic: its decoded value, `Unusable`, or None when removed."""
+
+    name: str
+    revision: int
+    value: Any
+
+
+class News(msgspec.Struct, frozen=True):
+    """Entries, and the revision from which to watch on."""
+
+    revision: int
+    entries: tuple[Entry, ...]
+
+
+class Source(Protocol):
+    """The platform's store, as an adapter offers it."""
+
+    def list_all(self, topic: Topic) -> News:
+        """Return every entry of `topic`."""
+
+    def watch(self, topic: Topic, revision: int, wait_s: float) -> News:
+        """Return the changes after `revision`, waiting for the first one."""
+
+
+class Subscriber(Protocol):
+    """A part of the instance's beliefs that follows one topic."""
+
+    def put(self, name: str, value: Any) -> None:
+        """Take over a new or changed entry."""
+
+    def remove(self, name: str) -> None:
+        """Forget an entry."""
+
+
+class Follower:
+    """Keeps one subscriber up to date; a task.
+
+    Parameters
+    ----------
+    topic : Topic
+        What to follow.
+    source : Source
+        Where to read it.
+    subscriber : Subscriber
+        What to keep up to date.
+    clock : Clock
+        Source of time.
+    on_read : callable, optional
+        Called after each sound read with the time at which it was sent.
+    """
+
+    __slots__ = (
+        '_backoff_s',
+        '_clock',
+        '_failed_at',
+        '_known',
+        '_lapsing',
+        '_lost',
+        '_on_read',
+        '_recovered_at',
+        '_revision',
+        '_source',
+        '_subscriber',
+        'topic',
+    )
+
+    def __init__(
+        self,
+        topic: Topic,
+        source: Source,
+        subscriber: Subscriber,
+        clock: Clock,
+        on_read: Callable[[float], None] | None = None,
+    ) -> None:
+        self.topic = topic
+        self._source = source
+        self._subscriber = subscriber
+        self._clock = clock
+        self._on_read = on_read
+        self._revision: int | None = None
+        self._known: dict[str, int] = {}
+        self._lapsing: dict[str, float] = {}
+        self._failed_at = -LAPSE_WATCH_S
+        self._recovered_at = -LAPSE_WATCH_S
+        self._lost = False
+        self._backoff_s = FIRST_BACKOFF_S
+
+    def __repr__(self) -> str:
+        """Return the topic and the revision."""
+        return f'<Follower {self.topic.value} revision={self._revision}>'
+
+    def run(self) -> None:
+        """Follow for ever."""
+        while True:
+            self._clock.sleep(self.step())
+
+    def step(self) -> float:
+        """Make one call and return the seconds to pause before the next."""
+        sent_at = self._clock.now()
+        try:
+            news = self._read()
+        except WatchExpired:
+            log_event('history_gone', topic=self.topic.value, revision=self._revision)
+            self._revision = None
+            return 0
+        except StoreError as error:
+            return self._note_failure(error)
+        self._note_success()
+        whole = self._revision is None
+        self._revision = news.revision
+        self._apply(news, whole)
+        if self._on_read is not None:
+            self._on_read(sent_at)
+        return PACES[self.topic].gather_s if news.entries else 0
+
+    def _read(self) -> News:
+        if self._revision is None:
+            return self._source.list_all(self.topic)
+        wait_s = PACES[self.topic].wait_s
+        if self._lapsing:
+            wait_s = min(wait_s, max(0, min(self._lapsing.values()) - self._clock.now()))
+        return self._source.watch(self.topic, self._revision, wait_s)
+
+    def _apply(self, news: News, whole: bool) -> None:
+        if whole:
+            listed = {entry.name for entry in news.entries}
+            for missing in set(self._known) - listed:
+                self._lose(missing)
+        for entry in news.entries:
+            self._apply_entry(entry)
+        now = self._clock.now()
+        for name in [name for name, due in self._lapsing.items() if due <= now]:
+            self._drop(name, 'lapsed')
+
+    def _apply_entry(self, entry: Entry) -> None:
+        match entry.value:
+            case None:
+                self._lose(entry.name)
+            case Unusable(reason):
+                if self._known.get(entry.name) != entry.revision:
+                    log_event(
+                        'entry_unusable',
+                        level='WARNING',
+                        topic=self.topic.value,
+                        name=entry.name,
+                        reason=reason,
+                    )
+                self._drop(entry.name, 'unusable')
+            case usable:
+                self._lapsing.pop(entry.name, None)
+                self._known[entry.name] = entry.revision
+                self._subscriber.put(entry.name, usable)
+
+    def _lose(self, name: str) -> None:
+        """Drop an entry at once, or later when it may only have lapsed."""
+        if name not in self._known:
+            return
+        now = self._clock.now()
+        if self.topic is Topic.targets and now - self._failed_at < LAPSE_WATCH_S:
+            due = self._recovered_at + LAPSE_S
+            if due > now:
+                self._lapsing[name] = due
+                return
+        self._drop(name, 'removed')
+
+    def _drop(self, name: str, cause: str) -> None:
+        self._lapsing.pop(name, None)
+        if self._known.pop(name, None) is not None:
+            log_event('entry_gone', topic=self.topic.value, name=name, cause=cause)
+        self._subscriber.remove(name)
+
+    def _note_failure(self, error: StoreError) -> float:
+        self._failed_at = self._clock.now()
+        if not self._lost:
+            log_event(
+                'store_lost', level='WARNING', topic=self.topic.value, error=error
+            )
+        self._lost = True
+        pause_s = self._backoff_s
+        self._backoff_s = min(LAST_BACKOFF_S, pause_s * 2)
+        return pause_s
+
+    def _note_success(self) -> None:
+        self._backoff_s = FIRST_BACKOFF_S
+        if self._lost:
+            self._recovered_at = self._clock.now()
+            log_event('store_regained', topic=self.topic.value)
+        self._lost = False
--- /dev/null
+++ b/currantmast/direct/heartbeats.py
@@ -0,0 +1,148 @@
+"""Heartbeats between instances: datagrams that carry the sender's newest state."""
+
+from itertools import count
+from typing import Self
+
+from gevent import socket
+
+from currantmast.clocks import Clock
+from currantmast.direct.beliefs import Beliefs
+from currantmast.direct.freshness import Confirmation
+from currantmast.direct.members import (
+    MAX_DEMANDS,
+    MAX_LOADS,
+    Heartbeat,
+    bound_entries,
+    decode_heartbeat,
+    encode_heartbeat,
+)
+from currantmast.direct.model import InstanceRecord
+from currantmast.messages import Address
+from currantmast.runtime.logs import log_event
+
+# Seconds between heartbeats to instances of the own region, and how many of these pass
+# between two to the others: loads near by decide placement, and the far ones cost most.
+PERIOD_S = 0.2
+FAR_PERIODS = 2
+
+# Above this number of members the period grows with the fleet, so that what each one
+# receives stays bounded.
+MEMBERS_AT_FULL_PACE = 12
+SLOWEST_PERIOD_S = 0.6
+
+MAX_DATAGRAM_BYTES = 65_536
+
+
+class HeartbeatLink:
+    """Owns the datagram socket; a context manager.
+
+    Parameters
+    ----------
+    address : Address
+        Where to listen.
+    beliefs : Beliefs
+        What to announce, and what to keep up to date.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(self, address: Address, beliefs: Beliefs, clock: Clock) -> None:
+        self._beliefs = beliefs
+        self._clock = clock
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.bind((address.host, address.port))
+        host, port = self._socket.getsockname()
+        self.address = Address(host, port)
+        self.rejected = 0
+
+    def __enter__(self) -> Self:
+        """Return the open link."""
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        """Close the socket."""
+        self._socket.close()
+
+    def __repr__(self) -> str:
+        """Return the address."""
+        return f'<HeartbeatLink {self.address}>'
+
+    def receive(self) -> None:
+        """Take over the heartbeats of the others, for ever."""
+        while True:
+            payload, _ = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
+            heartbeat = decode_heartbeat(payload)
+            if heartbeat is None:
+                self.rejected += 1
+                continue
+            self._observe(heartbeat)
+
+    def send(self) -> None:
+        """Announce the own state, for ever."""
+        for period in count():
+            self._refresh()
+            self.announce(everywhere=period % FAR_PERIODS == 0)
+            self._clock.sleep(self._choose_period())
+
+    def announce(self, *, everywhere: bool) -> None:
+        """Send one heartbeat to each member, or to those of the own region only."""
+        beliefs = self._beliefs
+        demands = bound_entries(beliefs.rates.announce(), MAX_DEMANDS)
+        loads = bound_entries(beliefs.targets.count_loads(), MAX_LOADS)
+        region = beliefs.members.own.place.region
+        for peer in beliefs.members.list_peers():
+            if everywhere or peer.place.region == region:
+                self._send_one(peer, demands, loads)
+
+    def _send_one(
+        self, peer: InstanceRecord, demands: dict[str, float], loads: dict[str, int]
+    ) -> None:
+        beliefs = self._beliefs
+        own = beliefs.members.own
+        heartbeat = Heartbeat(
+            sender=own.id,
+            incarnation=own.incarnation,
+            sent_at=self._clock.now(),
+            ready=beliefs.is_ready(),
+            leaving=beliefs.leaving,
+            demands=demands,
+            loads=loads,
+            confirmation=self._confirm(peer),
+        )
+        target = (peer.peer.host, peer.peer.port)
+        try:
+            self._socket.sendto(encode_heartbeat(heartbeat), target)
+        except OSError as error:
+            log_event('heartbeat_not_sent', peer=peer.id, error=error)
+
+    def _confirm(self, peer: InstanceRecord) -> Confirmation | None:
+        beliefs = self._beliefs
+        echo = beliefs.members.get_echo(peer.id)
+        if echo is None or not beliefs.configuration.version:
+            return None
+        return Confirmation(
+            version=beliefs.configuration.version,
+            echoed_run=echo.heartbeat.incarnation,
+            echoed_at=echo.heartbeat.sent_at,
+            offset_s=beliefs.freshness.confirmed_at - echo.arrived_at,
+        )
+
+    def _observe(self, heartbeat: Heartbeat) -> None:
+        beliefs = self._beliefs
+        if not beliefs.members.observe(heartbeat):
+            return
+        confirmation = heartbeat.confirmation
+        own_run = beliefs.members.own.incarnation
+        if confirmation is not None and confirmation.echoed_run == own_run:
+            version = beliefs.configuration.version
+            beliefs.freshness.confirm_by_peer(confirmation, version)
+
+    def _refresh(self) -> None:
+        beliefs = self._beliefs
+        beliefs.rates.set_peers(beliefs.members.list_demands())
+        beliefs.targets.set_peer_loads(beliefs.members.sum_loads())
+
+    def _choose_period(self) -> float:
+        members = len(self._beliefs.members)
+        period_s = PERIOD_S * max(1, members / MEMBERS_AT_FULL_PACE)
+        return min(SLOWEST_PERIOD_S, period_s)
--- /dev/null
+++ b/currantmast/direct/probes.py
@@ -0,0 +1,76 @@
+"""Probes: asks ejected targets whether they are well."""
+
+import gevent
+
+from currantmast.clocks import Clock
+from currantmast.direct.beliefs import Beliefs
+from currantmast.direct.exchanges import Exchanges
+from currantmast.direct.requests import Wire
+from currantmast.direct.targets import Target
+from currantmast.errors import TransportError
+from currantmast.runtime.logs import log_event
+
+PERIOD_S = 0.1
+PROBE_TIMEOUT_S = 1.0
+
+
+class Prober:
+    """Sends health queries to targets that were ejected; a task.
+
+    Parameters
+    ----------
+    beliefs : Beliefs
+        Targets and their services.
+    wire : Wire
+        The platform's spelling.
+    exchanges : Exchanges
+        Connections to targets.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(
+        self, beliefs: Beliefs, wire: Wire, exchanges: Exchanges, clock: Clock
+    ) -> None:
+        self._beliefs = beliefs
+        self._wire = wire
+        self._exchanges = exchanges
+        self._clock = clock
+
+    def run(self) -> None:
+        """Probe for ever."""
+        while True:
+            for target in self._beliefs.targets.list_all():
+                if target.needs_probe():
+                    target.probed = True
+                    gevent.spawn(self.probe, target)
+            self._clock.sleep(PERIOD_S)
+
+    def probe(self, target: Target) -> None:
+        """Ask one target and record what it says."""
+        healthy, cold_s = False, 0.0
+        try:
+            healthy, cold_s = self._ask(target)
+        except TransportError as error:
+            log_event('probe_failed', target=target.record.id, error=error)
+        finally:
+            target.probed = False
+        target.note_probe(healthy, cold_s)
+        log_event(
+            'target_probed', target=target.record.id, healthy=healthy, cold_s=cold_s
+        )
+
+    def _ask(self, target: Target) -> tuple[bool, float]:
+        config = self._beliefs.configuration.value
+        service = config.services.get(target.record.service) if config else None
+        query = self._wire.encode_health_query(
+            service.health_path if service else '/', str(target.record.address)
+        )
+        answer = self._exchanges.exchange(
+            target.record.id,
+            target.record.address,
+            query,
+            PROBE_TIMEOUT_S,
+            lambda _: True,
+        )
+        return self._wire.decode_health(answer, target.record.id)
--- /dev/null
+++ b/currantmast/direct/process.py
@@ -0,0 +1,285 @@
+"""The process of one instance: its sockets, its tasks, its start and its end."""
+
+import secrets
+import signal
+from collections.abc import Callable
+from contextlib import ExitStack
+from functools import partial
+from typing import Protocol
+
+import gevent
+from gevent.event import Event
+
+from currantmast.clocks import BootClock, Clock
+from currantmast.direct.beliefs import (
+    Beliefs,
+    ConfigurationSubscriber,
+    EvacuationSubscriber,
+    InstanceSubscriber,
+    TargetSubscriber,
+)
+from currantmast.direct.exchanges import Exchanges
+from currantmast.direct.following import Follower, Source, Topic
+from currantmast.direct.front import FrontServer, Inbound, Outbound
+from currantmast.direct.heartbeats import HeartbeatLink
+from currantmast.direct.members import choose_named
+from currantmast.direct.meters import Meter
+from currantmast.direct.model import CallerLimits, DirectSettings, InstanceRecord
+from currantmast.direct.probes import Prober
+from currantmast.direct.requests import Registry, Wire
+from currantmast.direct.steering import Steering
+from currantmast.errors import SettingsError, StoreError, TaskFailed
+from currantmast.runtime.logs import log_event
+from currantmast.runtime.supervisor import Supervisor, check_backend
+
+INCARNATION_BYTES = 6
+LOOKUP_TTL_S = 2.0
+HOUSEKEEPING_S = 0.5
+RELOAD_S = 1.0
+
+# Parts of the time between a planned stop and the kill: callers learn meanwhile that
+# this instance leaves, and what was accepted last still ends in time.
+ACCEPT_PART = 0.5
+EXIT_PART = 0.95
+STOP_POLL_S = 0.05
+
+EXIT_FAILED = 70
+
+
+class Adapter(Protocol):
+    """A platform, as one object."""
+
+    wire: Wire
+
+    def load_settings(self) -> DirectSettings:
+        """Return the settings in force."""
+
+    def open_store(self, settings: DirectSettings) -> tuple[Source, Registry]:
+        """Return the store's reads and writes."""
+
+
+class DirectInstance:
+    """One run of an instance.
+
+    Parameters
+    ----------
+    adapter : Adapter
+        The platform.
+    settings : DirectSettings
+        What this instance was told.
+    clock : Clock
+        Source of time; counts suspension.
+    """
+
+    def __init__(
+        self, adapter: Adapter, settings: DirectSettings, clock: Clock
+    ) -> None:
+        self._adapter = adapter
+        self._settings = settings
+        self._clock = clock
+        self._source, self._registry = adapter.open_store(settings)
+        own = InstanceRecord(
+            settings.id,
+            secrets.token_hex(INCARNATION_BYTES),
+            settings.place,
+            settings.public,
+            settings.peer,
+        )
+        self.beliefs = Beliefs(own, settings.bounds, clock)
+        self._meter = Meter()
+        self._stopping = Event()
+        self._registered = False
+        self._instances = InstanceSubscriber(self.beliefs)
+
+    def __repr__(self) -> str:
+        """Return the id."""
+        return f'<DirectInstance {self._settings.id}>'
+
+    def stop(self) -> None:
+        """Begin the planned end."""
+        self._stopping.set()
+
+    def run(self) -> int:
+        """Serve until the planned end and return the exit code."""
+        log_event(
+            'started',
+            domain=self._settings.place.failure_domain,
+            incarnation=self.beliefs.members.own.incarnation,
+        )
+        with ExitStack() as stack:
+            exchanges = stack.enter_context(Exchanges(self._clock))
+            front = stack.enter_context(self._open_front(exchanges))
+            for server in self._open_side_servers():
+                stack.enter_context(server)
+            link = stack.enter_context(
+                HeartbeatLink(self._settings.peer, self.beliefs, self._clock)
+            )
+            supervisor = stack.enter_context(Supervisor('direct', self._clock))
+            self._add_tasks(supervisor, exchanges, link)
+            supervisor.add('stop', partial(self._leave, supervisor, front, link))
+            return self._wait(supervisor)
+
+    def _wait(self, supervisor: Supervisor) -> int:
+        try:
+            supervisor.wait()
+        except TaskFailed as failure:
+            log_event('instance_failed', level='ERROR', error=failure)
+            return EXIT_FAILED
+        log_event('stopped')
+        return 0
+
+    def _open_front(self, exchanges: Exchanges) -> FrontServer:
+        steering = Steering(
+            self.beliefs, self._adapter.wire, exchanges, self._clock, self._meter
+        )
+        return self._make_server(self._settings.public, steering.answer)
+
+    def _open_side_servers(self) -> tuple[FrontServer, ...]:
+        settings = self._settings
+        handlers = (
+            (settings.readiness, self._answer_readiness),
+            (settings.lookup, self._answer_lookup),
+            (settings.metrics, self._answer_metrics),
+        )
+        return tuple(self._make_server(*pair) for pair in handlers)
+
+    def _make_server(
+        self, address, handler: Callable[[Inbound], Outbound]
+    ) -> FrontServer:
+        return FrontServer(address, handler, self._get_limits, self._clock)
+
+    def _get_limits(self) -> CallerLimits:
+        config = self.beliefs.configuration.value
+        return config.limits if config else CallerLimits()
+
+    def _add_tasks(
+        self, supervisor: Supervisor, exchanges: Exchanges, link: HeartbeatLink
+    ) -> None:
+        beliefs = self.beliefs
+        prober = Prober(beliefs, self._adapter.wire, exchanges, self._clock)
+        followers = (
+            (
+                Topic.configuration,
+                ConfigurationSubscriber(beliefs),
+                beliefs.freshness.confirm,
+            ),
+            (Topic.targets, TargetSubscriber(beliefs, exchanges), self._note_targets),
+            (Topic.evacuations, EvacuationSubscriber(beliefs), None),
+            (Topic.instances, self._instances, None),
+        )
+        for topic, subscriber, on_read in followers:
+            follower = Follower(topic, self._source, subscriber, self._clock, on_read)
+            supervisor.add(f'follow-{topic.value}', follower.run)
+        supervisor.add('receive-heartbeats', link.receive)
+        supervisor.add('send-heartbeats', link.send)
+        supervisor.add('probe', prober.run)
+        supervisor.add('keep-house', self._keep_house)
+        supervisor.add('reload', self._reload)
+
+    def _note_targets(self, sent_at: float) -> None:
+        self.beliefs.targets_listed = True
+
+    def _keep_house(self) -> None:
+        while True:
+            self._register()
+            for member_id in self.beliefs.members.list_removable():
+                self._remove_member(member_id)
+            self._show_beliefs()
+            self._clock.sleep(HOUSEKEEPING_S)
+
+    def _register(self) -> None:
+        if self._registered and not self._instances.own_record_lost:
+            return
+        if self.beliefs.leaving:
+            return
+        try:
+            self._registry.put_instance(self.beliefs.members.own)
+        except StoreError as error:
+            log_event('not_registered', level='WARNING', error=error)
+            return
+        self._registered = True
+        self._instances.own_record_lost = False
+
+    def _remove_member(self, member_id: str) -> None:
+        try:
+            self._registry.delete_instance(member_id)
+        except StoreError as error:
+            log_event('member_not_removed', member=member_id, error=error)
+            return
+        log_event('member_removed', member=member_id)
+
+    def _show_beliefs(self) -> None:
+        beliefs = self.beliefs
+        levels = {
+            'configuration_version': beliefs.configuration.version,
+            'configuration_age_seconds': beliefs.freshness.age(),
+            'targets': len(beliefs.targets),
+            'members': len(beliefs.members),
+            'members_ready': len(beliefs.members.list_ready()),
+        }
+        for name, level in levels.items():
+            self._meter.show(name, level)
+
+    def _reload(self) -> None:
+        while True:
+            self._clock.sleep(RELOAD_S)
+            try:
+                settings = self._adapter.load_settings()
+            except SettingsError as error:
+                log_event('settings_rejected', level='WARNING', error=error)
+                continue
+            if settings.bounds != self.beliefs.bounds:
+                self.beliefs.bounds = settings.bounds
+                log_event('settings_reloaded', revoke_s=settings.bounds.revoke_s)
+
+    def _answer_readiness(self, inbound: Inbound) -> Outbound:
+        return Outbound(200 if self.beliefs.is_ready() else 503)
+
+    def _answer_metrics(self, inbound: Inbound) -> Outbound:
+        headers = (('Content-Type', 'text/plain; version=0.0.4'),)
+        return Outbound(200, headers, self._meter.write())
+
+    def _answer_lookup(self, inbound: Inbound) -> Outbound:
+        query = self._adapter.wire.decode_lookup(inbound)
+        members = self.beliefs.members
+        own = (members.own,) if self.beliefs.is_ready() else ()
+        named = choose_named(
+            members.own, (*own, *members.list_ready()), query.region, query.domain
+        )
+        addresses = tuple(str(record.public) for record in named)
+        ttl_s = min(LOOKUP_TTL_S, self.beliefs.bounds.lookup_ttl_s)
+        return self._adapter.wire.encode_lookup(addresses, ttl_s)
+
+    def _leave(
+        self, supervisor: Supervisor, front: FrontServer, link: HeartbeatLink
+    ) -> None:
+        self._stopping.wait()
+        began = self._clock.now()
+        grace_s = self.beliefs.bounds.grace_s
+        log_event('stopping', active=front.active, grace_s=grace_s)
+        self.beliefs.leaving = True
+        front.close_connections()
+        link.announce(everywhere=True)
+        self._clock.sleep(grace_s * ACCEPT_PART)
+        front.stop_accepting()
+        self._remove_member(self._settings.id)
+        while front.active and self._clock.now() - began < grace_s * EXIT_PART:
+            self._clock.sleep(STOP_POLL_S)
+        log_event('drained', active=front.active)
+        supervisor.stop()
+
+
+def run_direct(adapter: Adapter) -> int:
+    """Run an instance on a platform until its planned end; return the exit code.
+
+    Raises
+    ------
+    SettingsError
+        If the settings are rejected.
+    """
+    check_backend()
+    instance = DirectInstance(adapter, adapter.load_settings(), BootClock())
+    gevent.signal_handler(signal.SIGTERM, instance.stop)
+    # The settings are read again all the time; the signal must only not end the process.
+    gevent.signal_handler(signal.SIGHUP, log_event, 'settings_signal')
+    return instance.run()
--- /dev/null
+++ b/currantmast/platform/adapter.py
@@ -0,0 +1,53 @@
+"""The platform as one object, and the start of an instance on it."""
+
+import sys
+
+from currantmast.direct.model import DirectSettings
+from currantmast.direct.process import run_direct
+from currantmast.platform import wire
+from currantmast.platform.boot import find_boot_path, load_boot
+from currantmast.platform.documents import configure_places
+from currantmast.platform.store import ObjectStore
+from currantmast.runtime.logs import configure_logs
+
+
+class PlatformAdapter:
+    """Settings, store and spelling of the platform."""
+
+    wire = wire
+
+    def __init__(self) -> None:
+        self._path = find_boot_path()
+
+    def __repr__(self) -> str:
+        """Return the path of the settings."""
+        return f'<PlatformAdapter {self._path}>'
+
+    def load_settings(self) -> DirectSettings:
+        """Return the settings in force.
+
+        Raises
+        ------
+        SettingsError
+            If the file is rejected.
+        """
+        return load_boot(self._path)
+
+    def open_store(self, settings: DirectSettings) -> tuple[ObjectStore, ObjectStore]:
+        """Return the store's reads and writes."""
+        configure_places(settings.regions)
+        store = ObjectStore(settings.store)
+        return store, store
+
+
+def run_platform() -> int:
+    """Run an instance on the platform; return its exit code.
+
+    Raises
+    ------
+    SettingsError
+        If the settings are missing or rejected.
+    """
+    adapter = PlatformAdapter()
+    configure_logs(adapter.load_settings().id, stream=sys.stdout)
+    return run_direct(adapter)
--- /dev/null
+++ b/currantmast/platform/boot.py
@@ -0,0 +1,135 @@
+"""The settings file that the platform places beside a process."""
+
+import os
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from currantmast.direct.model import Bounds, DirectSettings, Place
+from currantmast.errors import SettingsError
+from currantmast.fields import parse_address
+from currantmast.messages import Address
+
+BOOT_VARIABLE = 'CURRANTMAST_BOOT'
+
+
+class _Self(msgspec.Struct):
+    node: str
+    zone: str
+    region: str
+    ip: str
+
+
+class _Listen(msgspec.Struct):
+    front: str
+    readiness: str
+    directory: str
+
+
+class _Network(msgspec.Struct):
+    # First and last of the ports that are free for traffic between instances.
+    port_range: tuple[int, int]
+    listen: _Listen
+    zones: dict[str, str]
+
+
+class _Store(msgspec.Struct):
+    addr: str
+
+
+class _Provider(msgspec.Struct):
+    provider: _Store
+
+
+class _BoundsTable(msgspec.Struct):
+    revoke_s: float = 5
+    grace_s: float = 6
+    budget_ratio: float = 0.2
+    budget_extra: float = 20
+    budget_window_s: float = 10
+    cold_factor: float = 1.5
+    cold_extra: float = 5
+    ttl_max_s: float = 5
+
+
+class _Terms(msgspec.Struct):
+    bounds: _BoundsTable = msgspec.field(default_factory=_BoundsTable)
+
+
+class _Boot(msgspec.Struct):
+    # `self` can't be an attribute's name.
+    own: _Self = msgspec.field(name='self')
+    network: _Network = msgspec.field()
+    provider: _Provider = msgspec.field()
+    terms: _Terms = msgspec.field(default_factory=_Terms)
+
+
+def find_boot_path() -> Path:
+    """Return the path of the settings file.
+
+    Raises
+    ------
+    SettingsError
+        If the environment names none.
+    """
+    path = os.environ.get(BOOT_VARIABLE)
+    if not path:
+        raise SettingsError('environment', BOOT_VARIABLE, path, 'the path of a file')
+    return Path(path)
+
+
+def load_boot(path: Path) -> DirectSettings:
+    """Return the settings in the file at `path`.
+
+    Raises
+    ------
+    SettingsError
+        If the file can't be read, or a field is missing or has no sense.
+    """
+    try:
+        document = tomllib.loads(path.read_text())
+    except (OSError, ValueError) as error:
+        raise SettingsError(str(path), '-', error, 'a TOML file') from error
+    return decode_boot(document, str(path))
+
+
+def decode_boot(document: dict[str, Any], file: str) -> DirectSettings:
+    """Return the settings in a parsed file.
+
+    Raises
+    ------
+    SettingsError
+        If a field is missing or has no sense.
+    """
+    try:
+        return _build(msgspec.convert(document, _Boot))
+    except (msgspec.MsgspecError, ValueError) as error:
+        raise SettingsError(file, '-', str(error), 'the fields of a boot file') from error
+
+
+def _build(boot: _Boot) -> DirectSettings:
+    first_port, last_port = boot.network.port_range
+    bounds = boot.terms.bounds
+    return DirectSettings(
+        id=boot.own.node,
+        place=Place(boot.own.region, boot.own.zone),
+        public=parse_address(boot.network.listen.front),
+        readiness=parse_address(boot.network.listen.readiness),
+        lookup=parse_address(boot.network.listen.directory),
+        peer=Address(boot.own.ip, first_port),
+        metrics=Address(boot.own.ip, last_port),
+        store=parse_address(boot.provider.provider.addr),
+        regions=boot.network.zones,
+        bounds=Bounds(
+            revoke_s=bounds.revoke_s,
+            grace_s=bounds.grace_s,
+            retry_ratio=bounds.budget_ratio,
+            retry_extra=bounds.budget_extra,
+            retry_window_s=bounds.budget_window_s,
+            cold_factor=bounds.cold_factor,
+            cold_extra=bounds.cold_extra,
+            lookup_ttl_s=bounds.ttl_max_s,
+        ),
+    )
--- /dev/null
+++ b/currantmast/platform/documents.py
@@ -0,0 +1,277 @@
+"""Decoding of the objects in the platform's store, each once, into our own types."""
+
+import math
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from currantmast.direct.following import Topic, Unusable
+from currantmast.direct.model import (
+    CallerLimits,
+    Configuration,
+    InstanceRecord,
+    Part,
+    Place,
+    Route,
+    Service,
+    TargetRecord,
+    TargetState,
+    Team,
+    WorkKind,
+)
+from currantmast.fields import parse_address
+
+CONFIGURATION_NAME = 'main'
+
+# The platform knows the region of a zone from the settings alone; an entry names only
+# the zone. `configure_places` sets it once, at start.
+_regions: dict[str, str] = {}
+
+
+class DocumentRejected(msgspec.ValidationError):
+    """An object of the store has a field of another type or without sense."""
+
+
+def configure_places(regions: dict[str, str]) -> None:
+    """Tell the decoders the region of each failure domain."""
+    _regions.clear()
+    _regions.update(regions)
+
+
+class _Meta(msgspec.Struct):
+    name: str = ''
+
+
+class _Resource(msgspec.Struct):
+    # What the entry is: routes, services, tenants or limits.
+    res_kind: str
+    spec: dict[str, Any]
+    meta: _Meta = msgspec.field(default_factory=_Meta)
+
+
+class _Config(msgspec.Struct):
+    # Eight hexadecimal digits.
+    version: str
+    resources: list[_Resource]
+
+
+class _Backend(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _RouteSpec(msgspec.Struct):
+    host: str
+    path_prefix: str
+    # Not a media type: what may be repeated.
+    type: str
+    timeout_s: float
+    target_latency_s: float = 0
+    # Rank, 0 is the highest.
+    prio: int = 0
+    service: str | None = None
+    backends: list[_Backend] = []
+    attempts: int = 1
+    public: bool = False
+    # Whether targets are faster with objects that they handled lately.
+    affinity: bool = False
+    home_regions: list[str] = []
+
+
+class _ServiceSpec(msgspec.Struct):
+    health_path: str = '/'
+    max_conns: int = 1
+    cold_s: float = 0
+    cold_per_s: float = 0
+
+
+class _TenantSpec(msgspec.Struct):
+    api_keys: list[str] = []
+    prio: int | None = None
+    rate_per_s: float = 0
+    burst: float = 0
+    home_regions: list[str] = []
+
+
+class _LimitsSpec(msgspec.Struct):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 67_108_864
+    header_timeout_s: float = 3
+    idle_s: float = 15
+
+
+class _ServerSpec(msgspec.Struct):
+    service: str
+    addr: str
+    zone: str
+    slots: int
+    state: str
+    cold_left_s: float = 0
+    # Unix milliseconds of the start, always whole; tells runs under one id apart.
+    born: int = 0
+
+
+class _InstanceSpec(msgspec.Struct):
+    incarnation: str
+    region: str
+    failure_domain: str
+    public: str
+    peer: str
+
+
+def decode_configuration(name: str, spec: Any) -> Configuration | Unusable:
+    """Return the configuration in an object, or why it can't be used."""
+    if name != CONFIGURATION_NAME:
+        return Unusable('not the configuration')
+    return _guard(_build_configuration, spec)
+
+
+def decode_target(name: str, spec: Any) -> TargetRecord | Unusable:
+    """Return the target that an entry names, or why it names none."""
+    return _guard(lambda found: _build_target(name, found), spec)
+
+
+def decode_evacuation(name: str, spec: Any) -> str:
+    """Return the failure domain to evacuate; the object's name says all."""
+    return name
+
+
+def decode_instance(name: str, spec: Any) -> InstanceRecord | Unusable:
+    """Return the record of an instance, or why it can't be used."""
+    return _guard(lambda found: _build_instance(name, found), spec)
+
+
+DECODERS = {
+    Topic.configuration: decode_configuration,
+    Topic.targets: decode_target,
+    Topic.evacuations: decode_evacuation,
+    Topic.instances: decode_instance,
+}
+
+
+def encode_instance(record: InstanceRecord) -> bytes:
+    """Return the object that holds the record of an instance."""
+    spec = _InstanceSpec(
+        record.incarnation,
+        record.place.region,
+        record.place.failure_domain,
+        str(record.public),
+        str(record.peer),
+    )
+    document = {'meta': {'name': record.id}, 'spec': msgspec.to_builtins(spec)}
+    return msgspec.json.encode(document)
+
+
+def _guard(build: Callable[[Any], Any], spec: Any) -> Any:
+    try:
+        return build(spec)
+    except (msgspec.MsgspecError, ValueError) as error:
+        return Unusable(str(error))
+
+
+def _build_configuration(spec: Any) -> Configuration:
+    config = msgspec.convert(spec, _Config)
+    by_kind: dict[str, list[_Resource]] = {}
+    for resource in config.resources:
+        by_kind.setdefault(resource.res_kind, []).append(resource)
+    tenants = [
+        (resource.meta.name, msgspec.convert(resource.spec, _TenantSpec))
+        for resource in by_kind.get('tenants', ())
+    ]
+    limits = [
+        msgspec.convert(resource.spec, _LimitsSpec)
+        for resource in by_kind.get('limits', ())
+    ]
+    services = [
+        _build_service(resource.meta.name, resource.spec)
+        for resource in by_kind.get('services', ())
+    ]
+    return Configuration(
+        version=int(config.version, 16),
+        routes=tuple(
+            _build_route(resource.meta.name, resource.spec)
+            for resource in by_kind.get('routes', ())
+        ),
+        services={service.name: service for service in services},
+        teams={name: _build_team(name, tenant) for name, tenant in tenants},
+        keys={key: name for name, tenant in tenants for key in tenant.api_keys},
+        limits=_build_limits(limits[-1] if limits else _LimitsSpec()),
+    )
+
+
+def _build_route(name: str, spec: dict[str, Any]) -> Route:
+    found = msgspec.convert(spec, _RouteSpec)
+    parts = tuple(
+        Part(backend.service, backend.weight)
+        for backend in found.backends
+        if backend.weight > 0
+    )
+    if not parts and found.service is not None:
+        parts = (Part(found.service, 1),)
+    if not parts:
+        raise DocumentRejected(f'route {name} names no service')
+    return Route(
+        name=name,
+        host=found.host.lower(),
+        prefix=found.path_prefix,
+        kind=WorkKind(found.type),
+        parts=parts,
+        timeout_s=found.timeout_s,
+        target_latency_s=found.target_latency_s or found.timeout_s,
+        attempts=max(1, found.attempts),
+        priority=found.prio,
+        open=found.public,
+        homes=frozenset(found.home_regions),
+        by_object=found.affinity,
+    )
+
+
+def _build_service(name: str, spec: dict[str, Any]) -> Service:
+    found = msgspec.convert(spec, _ServiceSpec)
+    return Service(
+        name, found.health_path, found.max_conns, found.cold_s, found.cold_per_s
+    )
+
+
+def _build_team(name: str, tenant: _TenantSpec) -> Team:
+    homes = frozenset(tenant.home_regions)
+    return Team(name, tenant.rate_per_s, tenant.burst, homes, tenant.prio)
+
+
+def _build_limits(found: _LimitsSpec) -> CallerLimits:
+    return CallerLimits(
+        found.max_header_bytes,
+        found.max_body_bytes,
+        found.header_timeout_s,
+        found.idle_s,
+    )
+
+
+def _build_target(name: str, spec: Any) -> TargetRecord:
+    found = msgspec.convert(spec, _ServerSpec)
+    if found.zone not in _regions:
+        raise DocumentRejected(f'unknown zone {found.zone}')
+    if found.slots < 1 or not math.isfinite(found.cold_left_s):
+        raise DocumentRejected('no slots')
+    return TargetRecord(
+        id=name,
+        service=found.service,
+        address=parse_address(found.addr),
+        place=Place(_regions[found.zone], found.zone),
+        slots=found.slots,
+        state=TargetState(found.state),
+        cold_left_s=max(0, found.cold_left_s),
+        started_at_ms=found.born,
+    )
+
+
+def _build_instance(name: str, spec: Any) -> InstanceRecord:
+    found = msgspec.convert(spec, _InstanceSpec)
+    return InstanceRecord(
+        name,
+        found.incarnation,
+        Place(found.region, found.failure_domain),
+        parse_address(found.public),
+        parse_address(found.peer),
+    )
--- /dev/null
+++ b/currantmast/platform/store.py
@@ -0,0 +1,211 @@
+"""Client of the platform's object store."""
+
+from http import HTTPStatus
+from typing import Any
+from urllib.parse import quote, urlencode
+
+import msgspec
+
+from currantmast.direct.following import Entry, News, Topic
+from currantmast.direct.model import InstanceRecord
+from currantmast.errors import (
+    StoreConflict,
+    StoreError,
+    StoreOutcomeUnknown,
+    StoreUnavailable,
+    TransportError,
+    WatchExpired,
+)
+from currantmast.exchange import Request, Response, SingleSendClient, exchange
+from currantmast.messages import Address
+from currantmast.platform.documents import DECODERS, encode_instance
+
+CALL_TIMEOUT_S = 1.0
+
+# Seconds beyond its own wait that a watch may take to answer.
+WATCH_MARGIN_S = 0.6
+
+KINDS = {
+    Topic.configuration: 'config',
+    Topic.targets: 'servers',
+    Topic.evacuations: 'evacuations',
+    Topic.instances: 'instances',
+}
+
+
+class ObjectStore:
+    """The store's calls; each topic has a connection of its own, for its watch.
+
+    Parameters
+    ----------
+    address : Address
+        Where the store listens.
+    """
+
+    __slots__ = ('_address', '_clients', 'calls')
+
+    def __init__(self, address: Address) -> None:
+        self._address = address
+        self._clients: dict[object, SingleSendClient] = {}
+        self.calls = 0
+
+    def __repr__(self) -> str:
+        """Return the address."""
+        return f'<ObjectStore {self._address}>'
+
+    def list_all(self, topic: Topic) -> News:
+        """Return every entry of `topic`.
+
+        Raises
+        ------
+        StoreError
+            If a page could not be read; nothing of a half-read list is returned.
+        """
+        entries: list[Entry] = []
+        revision: int | None = None
+        query: dict[str, str] = {}
+        while True:
+            page = self._read(topic, query, CALL_TIMEOUT_S)
+            items = _take(page, 'items', list)
+            entries.extend(_decode_object(topic, item) for item in items)
+            # Changes between two pages come again with the watch from the first page.
+            if revision is None:
+                revision = _take(page, 'current_rev', int)
+            if not page.get('has_more'):
+                return News(revision, tuple(entries))
+            query = {'after': _find_name(items[-1]) if items else ''}
+
+    def watch(self, topic: Topic, revision: int, wait_s: float) -> News:
+        """Return the changes after `revision`, waiting for the first one.
+
+        Raises
+        ------
+        WatchExpired
+            If the store no longer keeps that history.
+        StoreError
+            If the call failed.
+        """
+        query = {'watch': str(revision), 'wait_ms': str(round(wait_s * 1000))}
+        page = self._read(topic, query, wait_s + WATCH_MARGIN_S)
+        events = _take(page, 'events', list)
+        return News(
+            _take(page, 'current_rev', int),
+            tuple(_decode_event(topic, event) for event in events),
+        )
+
+    def put_instance(self, record: InstanceRecord) -> None:
+        """Write the record of an instance, whatever stood there.
+
+        Raises
+        ------
+        StoreError
+            If it is not known to be written.
+        """
+        body = encode_instance(record)
+        kind = KINDS[Topic.instances]
+        created = self._call('POST', f'/objects/{kind}', body)
+        if created.status == HTTPStatus.CONFLICT:
+            name = quote(record.id, safe='')
+            _check(self._call('PUT', f'/objects/{kind}/{name}', body))
+        else:
+            _check(created)
+
+    def delete_instance(self, instance_id: str) -> None:
+        """Remove the record of an instance.
+
+        Raises
+        ------
+        StoreError
+            If it is not known to be removed.
+        """
+        path = f'/objects/{KINDS[Topic.instances]}/{quote(instance_id, safe="")}'
+        answer = self._call('DELETE', path)
+        if answer.status != HTTPStatus.NOT_FOUND:
+            _check(answer)
+
+    def _read(self, topic: Topic, query: dict[str, str], timeout_s: float) -> dict:
+        path = f'/objects/{KINDS[topic]}'
+        if query:
+            path = f'{path}?{urlencode(query)}'
+        answer = self._send(topic, Request('GET', path, {}), timeout_s)
+        if answer.status == HTTPStatus.GONE:
+            raise WatchExpired(f'{topic.value}: {query}')
+        _check(answer)
+        try:
+            page = msgspec.json.decode(answer.body)
+        except msgspec.MsgspecError as error:
+            raise StoreUnavailable(f'unreadable answer: {error}') from error
+        if not isinstance(page, dict):
+            raise StoreUnavailable('the answer is no object')
+        return page
+
+    def _call(self, method: str, path: str, body: bytes = b'') -> Response:
+        headers = {'Content-Type': 'application/json'} if body else {}
+        try:
+            return self._send(
+                'writes', Request(method, path, headers, body), CALL_TIMEOUT_S
+            )
+        except StoreUnavailable as error:
+            raise StoreOutcomeUnknown(f'{method} {path}: {error}') from error
+
+    def _send(self, channel: object, request: Request, timeout_s: float) -> Response:
+        client = self._clients.get(channel)
+        if client is None:
+            client = SingleSendClient(
+                self._address.host,
+                self._address.port,
+                connection_timeout=CALL_TIMEOUT_S,
+                # A watch is silent while it waits; `exchange` bounds the whole call.
+                network_timeout=None,
+                concurrency=2,
+            )
+            self._clients[channel] = client
+        self.calls += 1
+        try:
+            return exchange(client, request, timeout_s)
+        except TransportError as error:
+            # Other connections to the store may have gone silent as well.
+            self._clients.pop(channel).close()
+            raise StoreUnavailable(str(error)) from error
+
+
+def _check(answer: Response) -> None:
+    if answer.status == HTTPStatus.CONFLICT:
+        raise StoreConflict('object', 0)
+    if answer.status == HTTPStatus.NOT_FOUND:
+        raise StoreError('the object is absent')
+    if answer.status >= HTTPStatus.BAD_REQUEST:
+        raise StoreUnavailable(f'status {answer.status}')
+
+
+def _take(page: dict, field: str, kind: type) -> Any:
+    found = page.get(field)
+    if not isinstance(found, kind):
+        raise StoreUnavailable(f'the answer has no {field}')
+    return found
+
+
+def _decode_event(topic: Topic, event: Any) -> Entry:
+    if not isinstance(event, dict):
+        raise StoreUnavailable('an event is no object')
+    entry = _decode_object(topic, event.get('object'))
+    if event.get('deleted'):
+        return Entry(entry.name, entry.revision, None)
+    return entry
+
+
+def _decode_object(topic: Topic, found: Any) -> Entry:
+    name = _find_name(found)
+    meta = found['meta']
+    revision = meta.get('rev') if isinstance(meta.get('rev'), int) else 0
+    if meta.get('deleting'):
+        return Entry(name, revision, None)
+    return Entry(name, revision, DECODERS[topic](name, found.get('spec')))
+
+
+def _find_name(found: Any) -> str:
+    meta = found.get('meta') if isinstance(found, dict) else None
+    name = meta.get('name') if isinstance(meta, dict) else None
+    if not isinstance(name, str):
+        raise StoreUnavailable('an object has no name')
+    return name
--- /dev/null
+++ b/currantmast/platform/wire.py
@@ -0,0 +1,134 @@
+"""Requests and answers as the platform's callers and back ends spell them."""
+
+from http.cookies import CookieError, SimpleCookie
+from urllib.parse import parse_qs
+
+import msgspec
+
+from currantmast.direct.exchanges import Answer, Attempt
+from currantmast.direct.front import CONNECTION_HEADERS, Inbound, Outbound
+from currantmast.direct.requests import Call, Given, LookupQuery, Shed, TargetAnswer
+from currantmast.direct.targets import Load
+
+REQUEST_ID = 'x-currantmast-request-id'
+DEADLINE_MS = 'x-currantmast-deadline-ms'
+AFFINITY = 'X-Currantmast-Affinity-Key'
+API_KEY = 'api-key'
+TENANT = 'x-currantmast-tenant'
+EXPECT_INSTANCE = 'x-currantmast-expect-instance'
+STAMP = 'x-currantmast-server-stamp'
+NOT_EXECUTED = 'x-currantmast-not-executed'
+SERVER_LOAD = 'x-currantmast-server-load'
+INSTANCE_ID = 'x-currantmast-instance-id'
+COLD_MS = 'x-currantmast-cold-ms'
+
+# Set by this system, whatever the caller sent; the key goes to nobody.
+OWN_HEADERS = frozenset((API_KEY, TENANT, EXPECT_INSTANCE, DEADLINE_MS))
+MISDIRECTED = 421
+
+
+def decode_call(inbound: Inbound) -> Call:
+    """Return what a caller asks."""
+    path, _, _ = inbound.url.partition('?')
+    return Call(
+        request_id=inbound.get(REQUEST_ID) or '',
+        host=(inbound.get('host') or '').lower(),
+        path=path,
+        key=inbound.get(API_KEY),
+        thing=_find_thing(inbound.get('cookie')),
+        time_limit_s=_find_time_limit(inbound.get(DEADLINE_MS)),
+    )
+
+
+def encode_attempt(inbound: Inbound, given: Given) -> Attempt:
+    """Return the request as a target gets it."""
+    headers = [
+        (name, text)
+        for name, text in inbound.headers
+        if name not in CONNECTION_HEADERS and name not in OWN_HEADERS
+    ]
+    headers.append((DEADLINE_MS, str(max(1, int(given.time_left_s * 1000)))))
+    headers.append((EXPECT_INSTANCE, given.target_id))
+    if given.team is not None:
+        headers.append((TENANT, given.team))
+    return Attempt(inbound.method, inbound.url, tuple(headers), inbound.body)
+
+
+def encode_health_query(path: str, host: str) -> Attempt:
+    """Return the query for a target's health."""
+    return Attempt('GET', path, (('Host', host),))
+
+
+def owns_answer(request_id: str, answer: Answer) -> bool:
+    """Return whether an answer belongs to the request with this id.
+
+    A refusal may come without an id, an answer to work may not.
+    """
+    echoed = answer.get(REQUEST_ID)
+    if echoed is None:
+        return answer.get(STAMP) is None
+    return echoed == request_id
+
+
+def decode_answer(answer: Answer) -> TargetAnswer:
+    """Return what a target's answer says besides its bytes."""
+    status = answer.status
+    not_run = answer.get(NOT_EXECUTED) is not None or status == MISDIRECTED
+    return TargetAnswer(
+        status=status,
+        stamped=answer.get(STAMP) is not None,
+        load=_find_load(answer.get(SERVER_LOAD)),
+        shed=_find_shed(status) if not_run else None,
+    )
+
+
+def decode_health(answer: Answer, target_id: str) -> tuple[bool, float]:
+    """Return whether a target is well and is the one asked, and its cold seconds."""
+    cold_ms = answer.get(COLD_MS) or '0'
+    cold_s = float(cold_ms) / 1000 if cold_ms.replace('.', '', 1).isdigit() else 0
+    same = answer.get(INSTANCE_ID) == target_id
+    return answer.status == 200 and same, cold_s
+
+
+def encode_answer(answer: Answer) -> Outbound:
+    """Return a target's answer as the caller gets it."""
+    return Outbound(answer.status, answer.headers, answer.body, answer.reason)
+
+
+def decode_lookup(inbound: Inbound) -> LookupQuery:
+    """Return what a look-up asks."""
+    query = parse_qs(inbound.url.partition('?')[2])
+    return LookupQuery(
+        region=query.get('region', [''])[0], domain=query.get('zone', [''])[0]
+    )
+
+
+def encode_lookup(addresses: tuple[str, ...], ttl_s: float) -> Outbound:
+    """Return the answer to a look-up."""
+    body = msgspec.json.encode({'addrs': addresses[:64], 'ttl_s': ttl_s})
+    return Outbound(200, (('Content-Type', 'application/json'),), body)
+
+
+def _find_shed(status: int) -> Shed:
+    return Shed.misdirected if status == MISDIRECTED else Shed.full
+
+
+def _find_thing(cookie: str | None) -> str:
+    if not cookie:
+        return ''
+    try:
+        morsel = SimpleCookie(cookie).get(AFFINITY)
+    except CookieError:
+        return ''
+    return morsel.value if morsel else ''
+
+
+def _find_time_limit(text: str | None) -> float | None:
+    return int(text) / 1000 if text and text.isdigit() else None
+
+
+def _find_load(text: str | None) -> Load | None:
+    fields = (text or '').split(',')
+    if len(fields) != 3 or not all(field.strip().isdigit() for field in fields):
+        return None
+    return Load(*map(int, fields))
--- a/currantmast/runtime/control.py
+++ b/currantmast/runtime/control.py
@@ -1,13 +1,14 @@
-"""The control link: typed messages between instances over pynng."""
+"""The control link: typed messages between instances, one TCP connection a direction."""
 
-from collections import deque
 from collections.abc import Mapping
 from typing import Self
 
-import pynng
-from gevent.queue import Queue
-from gevent.socket import wait_read
+import gevent
+from gevent import Greenlet, socket
+from gevent.queue import Full, Queue
+from gevent.server import StreamServer
 
+from currantmast.errors import CurrantmastError
 from currantmast.messages import (
     Address,
     ControlMessage,
@@ -15,36 +16,24 @@
     decode_message,
     encode_message,
 )
+from currantmast.runtime.logs import log_event
 
 SEND_BUFFER_MESSAGES = 8
 INBOX_LIMIT = 4096
-TASK_THREADS = 2
+LISTEN_BACKLOG = 256
+MAX_INBOUND = 4096
+LENGTH_BYTES = 4
+# Bounds what a damaged length field can make this process allocate.
+MAX_FRAME_BYTES = 16 * 1024 * 1024
+CONNECT_TIMEOUT_S = 1.0
+# A peer that takes no byte for this long is dialled anew.
+SEND_TIMEOUT_S = 3.0
+FIRST_REDIAL_S = 0.1
+LAST_REDIAL_S = 1.0
 
 
-def bound_threads() -> None:
-    """Limit the worker threads of the messaging library.
-
-    The default is two threads a core and more, about 30 on a ten-core machine; the
-    messages of one instance need two. Takes effect only before the first socket.
-    """
-    lib = pynng.lib
-    for parameter in (
-        lib.NNG_INIT_NUM_TASK_THREADS,
-        lib.NNG_INIT_MAX_TASK_THREADS,
-        lib.NNG_INIT_NUM_EXPIRE_THREADS,
-        lib.NNG_INIT_NUM_POLLER_THREADS,
-    ):
-        lib.nng_init_set_parameter(parameter, TASK_THREADS)
-
-
-# Closed sockets are kept for a while: a worker thread of the library may still call
-# back into a socket that has just been closed, and must not find it collected.
-_retired: deque[pynng.Push0] = deque(maxlen=256)
-
-
-def _retire(socket: pynng.Push0) -> None:
-    socket.close()
-    _retired.append(socket)
+class FrameRejected(CurrantmastError):
+    """A peer sent a frame longer than allowed, or closed in the middle of one."""
 
 
 class ControlLink:
@@ -60,9 +49,9 @@
     """
 
     __slots__ = (
-        '_listener',
         '_peers',
-        '_sockets',
+        '_senders',
+        '_server',
         'address',
         'dropped',
         'inbox',
@@ -70,16 +59,22 @@
     )
 
     def __init__(self, listen: Address) -> None:
-        bound_threads()
-        self._listener = pynng.Pull0(listen=f'tcp://{listen}')
-        bound = str(self._listener.listeners[0].local_address)
-        host, port = bound.rsplit(':', 1)
-        self.address = Address(host, int(port))
+        self._server = StreamServer(
+            (listen.host, listen.port),
+            self._read,
+            backlog=LISTEN_BACKLOG,
+            spawn=MAX_INBOUND,
+        )
+        # Readers of a closed link have nothing left to finish.
+        self._server.stop_timeout = 0
+        self._server.init_socket()
+        host, port = self._server.socket.getsockname()[:2]
+        self.address = Address(host, port)
         self.inbox: Queue = Queue(maxsize=INBOX_LIMIT)
         self.dropped = 0
         self.rejected = 0
         self._peers: dict[str, Address] = {}
-        self._sockets: dict[str, pynng.Push0] = {}
+        self._senders: dict[str, _Sender] = {}
 
     def __enter__(self) -> Self:
         """Return the open link."""
@@ -91,14 +86,14 @@
 
     def __repr__(self) -> str:
         """Return the address and the number of peers."""
-        return f'<ControlLink {self.address} peers={len(self._sockets)}>'
+        return f'<ControlLink {self.address} peers={len(self._senders)}>'
 
     def dial_peers(self, peers: Mapping[str, Address]) -> None:
         """Dial exactly `peers`, by instance id."""
-        for gone in set(self._sockets) - set(peers):
-            _retire(self._sockets.pop(gone))
+        for gone in set(self._senders) - set(peers):
+            self._senders.pop(gone).close()
         for peer_id, address in peers.items():
-            if self._peers.get(peer_id) != address or peer_id not in self._sockets:
+            if self._peers.get(peer_id) != address or peer_id not in self._senders:
                 self._dial(peer_id, address)
         self._peers = dict(peers)
 
@@ -110,20 +105,34 @@
 
     def send(self, peer_id: str, message: ControlMessage) -> bool:
         """Queue `message` for `peer_id`; return whether it was accepted."""
-        socket = self._sockets.get(peer_id)
-        if socket is None:
-            return False
-        try:
-            socket.send(encode_message(message), block=False)
-        except pynng.NNGException:
-            self.dropped += 1
+        sender = self._senders.get(peer_id)
+        if sender is None:
             return False
-        return True
+        accepted = sender.put(encode_message(message))
+        self.dropped += not accepted
+        return accepted
 
     def receive(self) -> None:
         """Move received messages into the inbox, for ever."""
+        self._server.serve_forever()
+
+    def close(self) -> None:
+        """Close all sockets."""
+        self.dial_peers({})
+        self._server.stop(timeout=0)
+
+    def _read(self, connection: socket.socket, remote: tuple[str, int]) -> None:
+        with connection, connection.makefile('rb') as stream:
+            try:
+                self._read_frames(stream)
+            except (OSError, FrameRejected) as error:
+                log_event('control_connection_lost', remote=remote[0], error=error)
+
+    def _read_frames(self, stream: socket.SocketIO) -> None:
         while True:
-            payload = self._receive_one()
+            payload = _read_frame(stream)
+            if payload is None:
+                return
             try:
                 message = decode_message(payload)
             except MessageRejected:
@@ -131,26 +140,73 @@
                 continue
             self.inbox.put(message)
 
+    def _dial(self, peer_id: str, address: Address) -> None:
+        previous = self._senders.pop(peer_id, None)
+        if previous is not None:
+            previous.close()
+        self._senders[peer_id] = _Sender(peer_id, address)
+
+
+class _Sender:
+    """Connection to one peer with a bounded queue; dials again after a failure."""
+
+    __slots__ = ('_address', '_peer_id', '_queue', '_task')
+
+    def __init__(self, peer_id: str, address: Address) -> None:
+        self._peer_id = peer_id
+        self._address = address
+        self._queue: Queue = Queue(maxsize=SEND_BUFFER_MESSAGES)
+        self._task: Greenlet = gevent.spawn(self._run)
+
+    def put(self, payload: bytes) -> bool:
+        """Queue a frame; return whether there was room."""
+        try:
+            self._queue.put_nowait(payload)
+        except Full:
+            return False
+        return True
+
     def close(self) -> None:
-        """Close all sockets."""
-        self.dial_peers({})
-        self._listener.close()
+        """End the task, which closes its socket."""
+        self._task.kill(block=False)
 
-    def _receive_one(self) -> bytes:
+    def _run(self) -> None:
+        pause_s = FIRST_REDIAL_S
+        connected = True
         while True:
             try:
-                return self._listener.recv(block=False)
-            except pynng.TryAgain:
-                wait_read(self._listener.recv_fd)
-
-    def _dial(self, peer_id: str, address: Address) -> None:
-        previous = self._sockets.pop(peer_id, None)
-        if previous is not None:
-            _retire(previous)
-        socket = pynng.Push0(
-            send_buffer_size=SEND_BUFFER_MESSAGES,
-            reconnect_time_min=100,
-            reconnect_time_max=1000,
-        )
-        socket.dial(f'tcp://{address}', block=False)
-        self._sockets[peer_id] = socket
+                self._send_frames()
+            except OSError as error:
+                if connected:
+                    log_event('peer_unreachable', peer=self._peer_id, error=error)
+                connected = False
+                gevent.sleep(pause_s)
+                pause_s = min(LAST_REDIAL_S, pause_s * 2)
+
+    def _send_frames(self) -> None:
+        target = (self._address.host, self._address.port)
+        with socket.create_connection(target, CONNECT_TIMEOUT_S) as connection:
+            connection.settimeout(SEND_TIMEOUT_S)
+            while True:
+                payload = self._queue.get()
+                connection.sendall(len(payload).to_bytes(LENGTH_BYTES) + payload)
+
+
+def _read_frame(stream: socket.SocketIO) -> bytes | None:
+    """Return the next frame, or None at a clean end.
+
+    Raises
+    ------
+    FrameRejected
+        If the frame is too long or cut short.
+    """
+    head = stream.read(LENGTH_BYTES)
+    if not head:
+        return None
+    size = int.from_bytes(head)
+    if len(head) < LENGTH_BYTES or size > MAX_FRAME_BYTES:
+        raise FrameRejected(f'frame head {head.hex()}')
+    payload = stream.read(size)
+    if len(payload) < size:
+        raise FrameRejected(f'{len(payload)} of {size} bytes')
+    return payload
