Let a try last as long as its request, learn work times, borrow inside a rate

Cold work times were learned from runs on known objects, so requests left their objects' targets. Change: no limit for a try, two averages of work each fed by the nearer times, first and second target for an object, admissions beyond a share while the estimate of the team's whole bucket is well filled.

--- a/currantmast/decisions/buckets.py
+++ b/currantmast/decisions/buckets.py
@@ -71,6 +71,11 @@
         self._tokens -= amount
         return True
 
+    def spend(self, amount: float) -> None:
+        """Remove `amount` tokens that were used elsewhere; may leave a debt."""
+        self._refill()
+        self._tokens -= amount
+
     def get_wait(self, amount: float) -> float:
         """Return the time in seconds until `amount` tokens have gathered."""
         missing = amount - self.count()
--- a/currantmast/direct/exchanges.py
+++ b/currantmast/direct/exchanges.py
@@ -228,6 +228,8 @@
         self._parser = httptools.HttpResponseParser(self)
         self._begun = 0
         self._dirty = False
+        # The parser forgets it once it has told that an answer is complete.
+        self._keep_alive = False
         self._reason = b''
         self._headers: list[tuple[str, str]] = []
         self._body: list[bytes] = []
@@ -269,7 +271,7 @@
 
     def is_clean(self) -> bool:
         """Return whether the connection may carry another request."""
-        return not self._dirty and self._begun == 1 and self._parser.should_keep_alive()
+        return not self._dirty and self._begun == 1 and self._keep_alive
 
     # Callbacks of the parser.
 
@@ -308,6 +310,7 @@
     def on_message_complete(self) -> None:
         """Keep the answer if it belongs to the request."""
         status = self._parser.get_status_code()
+        self._keep_alive = self._parser.should_keep_alive()
         if status < FIRST_FINAL_STATUS or self.answer is not None:
             self._begun -= status < FIRST_FINAL_STATUS
             return
--- a/currantmast/direct/heartbeats.py
+++ b/currantmast/direct/heartbeats.py
@@ -106,6 +106,7 @@
             ready=beliefs.is_ready(),
             leaving=beliefs.leaving,
             demands=demands,
+            admitted=bound_entries(beliefs.rates.count_admitted(), MAX_DEMANDS),
             loads=loads,
             confirmation=self._confirm(peer),
         )
--- a/currantmast/direct/members.py
+++ b/currantmast/direct/members.py
@@ -38,6 +38,8 @@
         Whether it is about to end.
     demands : dict of float
         Requests per second, by team.
+    admitted : dict of int
+        Requests admitted since its start, by team.
     loads : dict of int
         Requests that it has at targets, by target id.
     confirmation : Confirmation or None
@@ -50,6 +52,7 @@
     ready: bool
     leaving: bool
     demands: dict[str, float] = {}
+    admitted: dict[str, int] = {}
     loads: dict[str, int] = {}
     confirmation: Confirmation | None = None
 
@@ -150,8 +153,16 @@
         reports = []
         for known in self._records:
             echo = self._echoes.get(known)
-            demands = echo.heartbeat.demands if echo else {}
-            reports.append(DemandReport(demands, heard=self._is_alive(known)))
+            heard = self._is_alive(known)
+            if echo is None:
+                reports.append(DemandReport(known, '', {}, heard=heard))
+                continue
+            beat = echo.heartbeat
+            reports.append(
+                DemandReport(
+                    known, beat.incarnation, beat.demands, beat.admitted, heard
+                )
+            )
         return tuple(reports)
 
     def sum_loads(self) -> dict[str, int]:
--- a/currantmast/direct/placement.py
+++ b/currantmast/direct/placement.py
@@ -29,10 +29,23 @@
 CROSS_DOMAIN_S = 0.005
 
 # Time of work in seconds before any answer was seen.
-FIRST_WARM_S = 0.3
-FIRST_COLD_S = 0.9
+FIRST_WARM_S = 0.25
+FIRST_COLD_S = 0.8
 WORK_WEIGHT = 0.05
 
+# Work on an object that a target doesn't know takes at least this many times as long.
+LEAST_COLD_FACTOR = 2.0
+
+# Requests by which the known load of a target may lag behind the real one.
+LOAD_LAG = 0.5
+
+# Chance that a target still knows an object that this instance sent there lately, when
+# it is known to forget what others sent.
+KNOWN_PART = 0.4
+
+# Chance that the second target for an object knows it, from earlier overflow.
+SECOND_WARM_PART = 0.5
+
 # Delays in seconds before any connection was made.
 NEAR_DELAY_S = 0.002
 FAR_DELAY_S = 0.06
@@ -40,26 +53,39 @@
 
 
 class WorkTimes:
-    """Average time of work by service, for objects handled lately and others."""
+    """Times of work by service: on objects that a target knew, and on others.
+
+    Nobody tells which of the two a run was, so each time counts for the nearer average.
+    """
 
     __slots__ = ('_times',)
 
     def __init__(self) -> None:
-        self._times: dict[tuple[str, bool], float] = {}
+        self._times: dict[str, tuple[float, float]] = {}
 
     def __repr__(self) -> str:
         """Return the number of averages."""
         return f'<WorkTimes {len(self._times)}>'
 
-    def get(self, service: str, warm: bool) -> float:
-        """Return the average in seconds."""
-        first_s = FIRST_WARM_S if warm else FIRST_COLD_S
-        return self._times.get((service, warm), first_s)
+    def get(self, service: str, chance: float) -> float:
+        """Return the expected seconds when the object is known with this chance."""
+        warm_s, cold_s = self._times.get(service, (FIRST_WARM_S, FIRST_COLD_S))
+        return chance * warm_s + (1 - chance) * cold_s
+
+    def was_warm(self, service: str, seconds: float) -> bool:
+        """Return whether a time of work is nearer to that on known objects."""
+        warm_s, cold_s = self._times.get(service, (FIRST_WARM_S, FIRST_COLD_S))
+        return seconds * seconds < warm_s * cold_s
 
-    def note(self, service: str, warm: bool, seconds: float) -> None:
+    def note(self, service: str, seconds: float) -> None:
         """Record the time of one run."""
-        average = self.get(service, warm)
-        self._times[service, warm] = average + WORK_WEIGHT * (seconds - average)
+        warm_s, cold_s = self._times.get(service, (FIRST_WARM_S, FIRST_COLD_S))
+        if self.was_warm(service, seconds):
+            warm_s += WORK_WEIGHT * (seconds - warm_s)
+        else:
+            cold_s += WORK_WEIGHT * (min(seconds, 2 * cold_s) - cold_s)
+        cold_s = max(cold_s, warm_s * LEAST_COLD_FACTOR)
+        self._times[service] = (warm_s, cold_s)
 
 
 class Delays:
@@ -116,8 +142,8 @@
         The target.
     transit_s, wait_s, work_s : float
         Expected round trip, queueing and work, in seconds.
-    warm : bool
-        Whether it is expected to know the object.
+    chance : float
+        Chance from 0 to 1 that it knows the object.
     candidates : int
         Number of targets weighed.
     """
@@ -126,7 +152,7 @@
     transit_s: float
     wait_s: float
     work_s: float
-    warm: bool
+    chance: float
     candidates: int
 
 
@@ -168,7 +194,7 @@
     def choose(self, need: Need, targets: Iterable[Target]) -> Chosen | NoRoom:
         """Return the target with the lowest cost that has room and time."""
         candidates = list(targets)
-        homes = find_homes(need.thing, candidates) if need.thing else frozenset()
+        homes = find_homes(need.thing, candidates) if need.thing else Homes()
         best: tuple[float, Chosen] | None = None
         room_in_s = need.time_left_s
         for target in candidates:
@@ -184,18 +210,18 @@
         return best[1]
 
     def _estimate(
-        self, need: Need, target: Target, homes: frozenset[str], candidates: int
+        self, need: Need, target: Target, homes: 'Homes', candidates: int
     ) -> Chosen:
-        warm = target.knows(need.thing) or target.record.id in homes
+        chance = _estimate_chance(need.thing, target, homes)
         slots = target.record.slots
-        ahead = max(0, target.load + 1 - slots)
-        usual_s = self.times.get(need.service, warm=True) * target.slowness
+        ahead = max(0, target.load + 1 - slots + LOAD_LAG)
+        usual_s = self.times.get(need.service, 1) * target.slowness
         return Chosen(
             target=target,
             transit_s=self.delays.get(target.record.place.region),
             wait_s=ahead * usual_s / slots,
-            work_s=self.times.get(need.service, warm) * target.slowness,
-            warm=warm,
+            work_s=self.times.get(need.service, chance) * target.slowness,
+            chance=chance,
             candidates=candidates,
         )
 
@@ -218,19 +244,41 @@
         return expected_s + crossing_s + option.target.trouble * TROUBLE_S
 
 
-def find_homes(thing: str, targets: Iterable[Target]) -> frozenset[str]:
-    """Return the ids of the targets that keep the object `thing`, one for each region.
+def _estimate_chance(thing: str, target: Target, homes: 'Homes') -> float:
+    if target.knows(thing):
+        return KNOWN_PART + (1 - KNOWN_PART) * target.hits
+    return homes.get_chance(target) * target.hits
+
+
+class Homes(msgspec.Struct, frozen=True):
+    """The targets that keep an object: the first and the second of each region.
 
     Every instance computes the same ones, so that all requests for an object meet the
     same targets; when one comes or goes, only its own objects move.
     """
-    first: dict[str, tuple[int, str]] = {}
+
+    first: frozenset[str] = frozenset()
+    second: frozenset[str] = frozenset()
+
+    def get_chance(self, target: Target) -> float:
+        """Return the chance that `target` knows the object."""
+        if target.record.id in self.first:
+            return 1
+        return SECOND_WARM_PART if target.record.id in self.second else 0
+
+
+def find_homes(thing: str, targets: Iterable[Target]) -> Homes:
+    """Return the targets of `targets` that keep the object `thing`."""
+    ranked: dict[str, list[tuple[int, str]]] = {}
     for target in targets:
         record: TargetRecord = target.record
         score = (_score(thing, record.id), record.id)
-        region = record.place.region
-        first[region] = max(first.get(region, score), score)
-    return frozenset(target_id for _, target_id in first.values())
+        ranked.setdefault(record.place.region, []).append(score)
+    best = [sorted(scores, reverse=True) for scores in ranked.values()]
+    return Homes(
+        first=frozenset(scores[0][1] for scores in best),
+        second=frozenset(scores[1][1] for scores in best if len(scores) > 1),
+    )
 
 
 @lru_cache(maxsize=65_536)
--- a/currantmast/direct/steering.py
+++ b/currantmast/direct/steering.py
@@ -33,11 +33,6 @@
 MOST_RETRY_AFTER_S = 1.0
 BOOT_RETRY_AFTER_S = 0.5
 
-# Part of the time that is left which one try of repeatable work may take, while another
-# target could still answer in the rest.
-TRY_PART = 0.6
-LEAST_TRY_S = 0.3
-
 # Tries of one request, for targets that could not be reached at all.
 MAX_TRIES = 4
 
@@ -172,19 +167,19 @@
             if isinstance(chosen, NoRoom):
                 return tries.explain(chosen, ending)
             tries.begin(chosen)
-            ending = tries.prefer(self._send(inbound, admitted, tries, chosen))
+            ending = tries.prefer(self._send(inbound, admitted, chosen))
             if not tries.may_repeat(ending):
                 return ending
         return tries.end_late(ending)
 
     def _send(
-        self, inbound: Inbound, admitted: Admission, tries: '_Tries', chosen: Chosen
+        self, inbound: Inbound, admitted: Admission, chosen: Chosen
     ) -> Ending:
         target = chosen.target
         started = self._clock.now()
         target.in_flight += 1
         try:
-            answer = self._exchange(inbound, admitted, tries, target)
+            answer = self._exchange(inbound, admitted, target)
         except NothingSent as error:
             target.eject()
             log_event('target_unreachable', target=target.record.id, error=error)
@@ -203,7 +198,7 @@
         return self._judge(admitted, chosen, answer, started)
 
     def _exchange(
-        self, inbound: Inbound, admitted: Admission, tries: '_Tries', target: Target
+        self, inbound: Inbound, admitted: Admission, target: Target
     ) -> Answer:
         left_s = admitted.ends_at - self._clock.now()
         team = admitted.team.name if admitted.team else None
@@ -213,7 +208,7 @@
             target.record.id,
             target.record.address,
             self._wire.encode_attempt(inbound, given),
-            tries.limit_try(left_s),
+            left_s,
             lambda answer: self._wire.owns_answer(request_id, answer),
         )
 
@@ -250,10 +245,13 @@
         thing = admitted.call.thing if admitted.route.by_object else ''
         work_s = max(0.001, elapsed_s - chosen.transit_s - chosen.wait_s)
         times = self._beliefs.placement.times
-        usual_s = times.get(admitted.service, chosen.warm)
+        knew = target.knows(thing) or times.was_warm(admitted.service, work_s)
+        usual_s = times.get(admitted.service, 1 if knew else 0)
         target.note_success(work_s / usual_s)
-        times.note(admitted.service, chosen.warm, work_s)
+        times.note(admitted.service, work_s)
         if thing:
+            if chosen.chance > 0:
+                target.note_hit(times.was_warm(admitted.service, work_s))
             target.note_handled(thing)
 
     def _refuse(
@@ -308,7 +306,8 @@
             domain=last.target.record.place.failure_domain if last else None,
             expected_s=last.transit_s + last.wait_s + last.work_s if last else None,
             wait_s=last.wait_s if last else None,
-            warm=last.warm if last else None,
+            chance=last.chance if last else None,
+            homes=','.join(sorted(admitted.homes)),
             candidates=last.candidates if last else 0,
             version=self._beliefs.configuration.version,
         )
@@ -365,14 +364,6 @@
         if chosen.target.is_cold():
             chosen.target.take_cold_token(self._get_cold_rate(chosen.target))
 
-    def limit_try(self, left_s: float) -> float:
-        """Return the seconds that the next exchange may take."""
-        admitted = self._admitted
-        repeatable = admitted.route.kind.repeatable
-        if not repeatable or self._sent >= admitted.route.attempts:
-            return left_s
-        return min(left_s, max(LEAST_TRY_S, left_s * TRY_PART))
-
     def prefer(self, ending: Ending) -> Ending:
         """Return the better one of `ending` and a failure that a target answered."""
         match ending:
--- a/currantmast/direct/targets.py
+++ b/currantmast/direct/targets.py
@@ -31,6 +31,9 @@
 SLOWNESS_WEIGHT = 0.25
 MOST_SLOWNESS = 8.0
 
+# Weight of one run in the share of objects that a target still knew.
+HIT_WEIGHT = 0.1
+
 # Seconds for which a target that shed takes no more than it then ran.
 SHED_S = 0.4
 
@@ -64,6 +67,7 @@
         '_ejected_until',
         '_ejection_s',
         '_failures',
+        '_hits',
         '_noted_at',
         '_shed',
         '_slowness',
@@ -86,6 +90,7 @@
         self._ejected_until: float = 0
         self._ejection_s = FIRST_EJECTION_S
         self._failures = 0
+        self._hits: float = 1
         self._noted_at = clock.now()
         self._shed: tuple[int, float] = (0, 0)
         self._slowness: float = 1
@@ -146,6 +151,15 @@
         """Return whether it handled the object `thing` lately."""
         return thing in self._warm
 
+    @property
+    def hits(self) -> float:
+        """Share of the objects sent to it for their sake that it still knew."""
+        return self._hits
+
+    def note_hit(self, hit: bool) -> None:
+        """Record whether it still knew an object that was sent to it for its sake."""
+        self._hits += HIT_WEIGHT * (hit - self._hits)
+
     def note_handled(self, thing: str) -> None:
         """Record that it handled the object `thing`."""
         self._warm[thing] = None
