--- a/currantmast/direct/beliefs.py
+++ b/currantmast/direct/beliefs.py
@@ -45,6 +45,7 @@
         self.retries = RetryBudgets(clock)
         self.members = Members(own, clock)
         self.targets_listed = False
+        self.members_listed = False
         self.leaving = False
         self.cold_bound.set_members(self.members.list_all())
 
--- a/currantmast/direct/heartbeats.py
+++ b/currantmast/direct/heartbeats.py
@@ -140,7 +140,8 @@
 
     def _refresh(self) -> None:
         beliefs = self._beliefs
-        beliefs.rates.set_peers(beliefs.members.list_demands())
+        if beliefs.members_listed:
+            beliefs.rates.set_peers(beliefs.members.list_demands())
         beliefs.targets.set_peer_loads(beliefs.members.sum_loads())
 
     def _choose_period(self) -> float:
--- a/currantmast/direct/process.py
+++ b/currantmast/direct/process.py
@@ -165,7 +165,7 @@
             ),
             (Topic.targets, TargetSubscriber(beliefs, exchanges), self._note_targets),
             (Topic.evacuations, EvacuationSubscriber(beliefs), None),
-            (Topic.instances, self._instances, None),
+            (Topic.instances, self._instances, self._note_members),
         )
         for topic, subscriber, on_read in followers:
             follower = Follower(topic, self._source, subscriber, self._clock, on_read)
@@ -179,6 +179,9 @@
     def _note_targets(self, sent_at: float) -> None:
         self.beliefs.targets_listed = True
 
+    def _note_members(self, sent_at: float) -> None:
+        self.beliefs.members_listed = True
+
     def _keep_house(self) -> None:
         while True:
             self._register()
--- a/currantmast/direct/rates.py
+++ b/currantmast/direct/rates.py
@@ -21,8 +21,9 @@
 from currantmast.decisions.buckets import DemandMeter, TokenBucket
 from currantmast.direct.model import Team
 
-# Part of a rate that is split evenly, so that sudden demand finds a share anywhere.
-EVEN_PART = 0.25
+# Part of a rate that is split evenly: sudden demand finds a share anywhere, and so does
+# a member that can't hear all others.
+EVEN_PART = 0.5
 
 # A share of less than one request could never admit anything.
 LEAST_BURST = 1.0
@@ -30,6 +31,10 @@
 # Part of a team's burst that must be left for admissions beyond a share.
 RESERVE_PART = 0.4
 
+# Seconds of a team's rate by which its whole bucket may be overdrawn before shares wait
+# as well; announcements of others come this late.
+DEBT_S = 0.5
+
 # Most members that may each admit a whole request from a reserve of less than one.
 MAX_WHOLE_BORROWERS = 12
 
@@ -99,9 +104,10 @@
         self._shares: dict[str, _TeamShare] = {}
         self._teams: dict[str, Team] = {}
         self._announced: dict[str, float] = {}
-        self._peers: tuple[DemandReport, ...] = ()
-        # Admissions already taken from the estimates, by member's run and team.
-        self._counted: dict[tuple[str, str, str], int] = {}
+        # None until the other members are known: alone, one would take a whole rate.
+        self._peers: tuple[DemandReport, ...] | None = None
+        # What each member's run had announced when it was last counted.
+        self._counted: dict[str, DemandReport] = {}
 
     def __repr__(self) -> str:
         """Return the number of teams."""
@@ -121,8 +127,7 @@
         """Take over what the other members last announced."""
         self._peers = tuple(peers)
         for peer in self._peers:
-            for name, admitted in peer.admitted.items():
-                self._count_peer(peer, name, admitted)
+            self._count_peer(peer)
         self._resize()
 
     def count_admitted(self) -> dict[str, int]:
@@ -150,6 +155,8 @@
         if share is None:
             return Admitted()
         share.demand.note(1)
+        if _is_overdrawn(team, share):
+            return OverRate(-share.fleet.count() / team.rate)
         if share.bucket.take(1) or self._borrow(team, share):
             share.fleet.spend(1)
             share.admitted += 1
@@ -157,44 +164,56 @@
         return OverRate(share.bucket.get_wait(1))
 
     def _borrow(self, team: Team, share: _TeamShare) -> bool:
-        members = len(self._peers) + 1
+        peers = self._peers or ()
+        members = len(peers) + 1
         most = int(team.burst * RESERVE_PART / members)
         if members <= MAX_WHOLE_BORROWERS:
             most = max(1, most)
         reserve = max(1, team.burst * RESERVE_PART)
-        silent = any(not peer.heard for peer in self._peers)
+        silent = any(not peer.heard for peer in peers)
         if silent or share.borrowed >= most or share.fleet.count() < reserve:
             return False
         share.borrowed += 1
         return True
 
-    def _count_peer(self, peer: DemandReport, name: str, admitted: int) -> None:
-        share = self._shares.get(name)
-        if share is None:
+    def _count_peer(self, peer: DemandReport) -> None:
+        if not peer.incarnation:
             return
-        run = (peer.member, peer.incarnation, name)
-        # What a member admitted before it was first heard is unknown in time.
-        counted = self._counted.get(run, admitted)
-        self._counted[run] = admitted
-        share.fleet.spend(max(0, admitted - counted))
+        # What a member admitted before it was first heard may be long ago; a new run of
+        # one that was heard before has admitted everything lately.
+        counted = self._counted.get(peer.member, peer)
+        before = counted.admitted if counted.incarnation == peer.incarnation else {}
+        self._counted[peer.member] = peer
+        for name, admitted in peer.admitted.items():
+            share = self._shares.get(name)
+            if share is not None:
+                share.fleet.spend(max(0, admitted - before.get(name, 0)))
 
     def _resize(self) -> None:
+        if self._peers is None:
+            return
         all_heard = all(peer.heard for peer in self._peers)
+        even = EVEN_PART / (len(self._peers) + 1)
         for name, team in self._teams.items():
             share = self._shares[name]
             fraction = self._compute_fraction(name)
             if all_heard:
                 share.safe_fraction = fraction
-            fraction = min(fraction, share.safe_fraction)
+            fraction = min(fraction, max(even, share.safe_fraction))
             share.fleet.resize(team.rate, team.burst)
             share.bucket.resize(
                 team.rate * fraction, max(LEAST_BURST, team.burst * fraction)
             )
 
     def _compute_fraction(self, name: str) -> float:
-        even = EVEN_PART / (len(self._peers) + 1)
+        peers = self._peers or ()
+        even = EVEN_PART / (len(peers) + 1)
         own = self._announced.get(name, 0)
-        total = own + sum(peer.demands.get(name, 0) for peer in self._peers)
+        total = own + sum(peer.demands.get(name, 0) for peer in peers)
         if total <= 0:
-            return 1 / (len(self._peers) + 1)
+            return 1 / (len(peers) + 1)
         return even + (1 - EVEN_PART) * own / total
+
+
+def _is_overdrawn(team: Team, share: _TeamShare) -> bool:
+    return share.fleet.count() < -(team.rate * DEBT_S + LEAST_BURST)
--- a/currantmast/direct/steering.py
+++ b/currantmast/direct/steering.py
@@ -169,8 +169,8 @@
             tries.begin(chosen)
             ending = tries.prefer(self._send(inbound, admitted, chosen))
             if not tries.may_repeat(ending):
-                return ending
-        return tries.end_late(ending)
+                break
+        return tries.conclude(ending)
 
     def _send(
         self, inbound: Inbound, admitted: Admission, chosen: Chosen
@@ -399,8 +399,8 @@
         detail = f'{no_room.candidates} targets weighed'
         return TryLater(NotRun(Reason.no_capacity, detail), after_s)
 
-    def end_late(self, ending: Ending) -> Ending:
-        """Return the ending when no try is left."""
+    def conclude(self, ending: Ending) -> Ending:
+        """Return the ending when no try is left; no promise after a possible run."""
         if self._may_have_run and isinstance(ending, NotRun):
             return OutcomeUnknown(ending.reason)
         return ending
--- /dev/null
+++ b/tests/test_direct_exchanges.py
@@ -0,0 +1,148 @@
+"""Exchanges with targets whose answers are late, doubled, cut or unframed."""
+
+from contextlib import contextmanager
+
+import gevent
+import pytest
+from gevent.server import StreamServer
+
+from currantmast.clocks import BootClock
+from currantmast.direct.exchanges import Attempt, Exchanges
+from currantmast.errors import (
+    AnswerIncomplete,
+    ExchangeBroken,
+    NothingSent,
+    ProgressTimeout,
+)
+from currantmast.messages import Address
+
+
+def make_answer(request_id, body=b'ok', extra=''):
+    head = f'HTTP/1.1 200 OK\r\nId: {request_id}\r\nContent-Length: {len(body)}\r\n'
+    return head.encode() + extra.encode() + b'\r\n' + body
+
+
+class Target:
+    """Answers the n-th request on any connection with the n-th script."""
+
+    def __init__(self, *scripts):
+        self.scripts = list(scripts)
+        self.connections = 0
+        self.requests = []
+
+    def serve(self, sock, remote):
+        self.connections += 1
+        while True:
+            received = sock.recv(65_536)
+            if not received:
+                return
+            self.requests.append(received)
+            script = self.scripts.pop(0)
+            for step in script:
+                if step == 'close':
+                    return
+                if isinstance(step, float):
+                    gevent.sleep(step)
+                else:
+                    sock.sendall(step)
+
+
+@contextmanager
+def open_target(*scripts):
+    target = Target(*scripts)
+    server = StreamServer(('127.0.0.1', 0), target.serve)
+    server.start()
+    target.address = Address(*server.address)
+    with Exchanges(BootClock()) as exchanges:
+        target.exchanges = exchanges
+        try:
+            yield target
+        finally:
+            server.stop(timeout=0)
+
+
+def send(target, request_id, timeout_s=2.0):
+    attempt = Attempt('GET', '/x', (('Id', request_id),))
+    return target.exchanges.exchange(
+        't',
+        target.address,
+        attempt,
+        timeout_s,
+        lambda answer: answer.get('id') == request_id,
+    )
+
+
+def test_connection_is_kept_after_a_clean_answer():
+    with open_target([make_answer('1')], [make_answer('2')]) as target:
+        send(target, '1')
+        send(target, '2')
+    assert target.connections == 1
+
+
+def test_second_answer_never_reaches_the_next_request():
+    """Guards against an answer of one request delivered to another."""
+    doubled = [make_answer('1', b'one') + make_answer('1', b'twice')]
+    with open_target(doubled, [make_answer('2', b'two')]) as target:
+        assert send(target, '1').body == b'one'
+        assert send(target, '2').body == b'two'
+    assert target.connections == 2
+
+
+def test_late_answer_before_the_own_one_is_passed_over():
+    late = [make_answer('0', b'late') + make_answer('1', b'own')]
+    with open_target(late, [make_answer('2')]) as target:
+        assert send(target, '1').body == b'own'
+        send(target, '2')
+    assert target.connections == 2
+
+
+def test_bytes_that_come_after_the_answer_end_the_connection():
+    slow_extra = [make_answer('1'), 0.05, make_answer('1')]
+    with open_target(slow_extra, [make_answer('2', b'two')]) as target:
+        send(target, '1')
+        gevent.sleep(0.1)
+        assert send(target, '2').body == b'two'
+    assert target.connections == 2
+
+
+@pytest.mark.parametrize('cut', [20, 60, -1])
+def test_cut_answer_is_incomplete(cut):
+    whole = make_answer('1', b'x' * 40)
+    with open_target([whole[:cut], 'close']) as target:
+        with pytest.raises(AnswerIncomplete):
+            send(target, '1')
+
+
+def test_unframed_answer_ends_with_its_connection():
+    unframed = b'HTTP/1.1 200 OK\r\nId: 1\r\n\r\nall of it'
+    with open_target([unframed, 'close'], [make_answer('2')]) as target:
+        assert send(target, '1').body == b'all of it'
+        send(target, '2')
+    assert target.connections == 2
+
+
+def test_bytes_that_are_no_answer_break_the_exchange():
+    with open_target([b'\x00\xffnonsense\r\n\r\n']) as target:
+        with pytest.raises(ExchangeBroken):
+            send(target, '1')
+
+
+def test_silence_is_a_timeout_and_closes_the_connection():
+    with open_target([5.0]) as target:
+        with pytest.raises(ProgressTimeout):
+            send(target, '1', timeout_s=0.1)
+
+
+def test_refused_connection_means_that_nothing_was_sent():
+    with open_target() as target:
+        target.address = Address('127.0.0.1', 1)
+        with pytest.raises(NothingSent):
+            send(target, '1')
+
+
+def test_close_header_ends_the_connection():
+    closing = [make_answer('1', extra='Connection: close\r\n')]
+    with open_target(closing, [make_answer('2')]) as target:
+        send(target, '1')
+        send(target, '2')
+    assert target.connections == 2
--- /dev/null
+++ b/tests/test_direct_rates.py
@@ -0,0 +1,144 @@
+"""Rates of teams over the whole fleet, shared without an owner."""
+
+import random
+
+from currantmast.clocks import ManualClock
+from currantmast.direct.model import Team
+from currantmast.direct.rates import Admitted, DemandReport, OverRate, TeamRates
+
+TEAM = Team('schools', rate=9, burst=9)
+PERIOD_S = 0.2
+
+
+class Fleet:
+    """Members that announce to each other each period."""
+
+    def __init__(self, size, team=TEAM):
+        self.clock = ManualClock(1000)
+        self.team = team
+        self.members = {str(number): self.start() for number in range(size)}
+        self.runs = dict.fromkeys(self.members, 'a')
+        self.silent = set()
+        self.last = {}
+
+    def start(self):
+        rates = TeamRates(self.clock)
+        rates.set_teams([self.team])
+        return rates
+
+    def announce(self):
+        for name, rates in self.members.items():
+            if name not in self.silent:
+                report = (rates.announce(), rates.count_admitted())
+                self.last[name] = DemandReport(name, self.runs[name], *report)
+        for name, rates in self.members.items():
+            rates.set_peers(
+                DemandReport(
+                    other,
+                    self.runs[other],
+                    self.last[other].demands,
+                    self.last[other].admitted,
+                    heard=not ({name, other} & self.silent),
+                )
+                for other in self.members
+                if other != name and other in self.last
+            )
+
+    def step(self):
+        self.announce()
+        self.clock.advance(PERIOD_S)
+
+    def offer(self, counts):
+        """Offer `counts[name]` requests to each member; return those admitted."""
+        admitted = 0
+        for name, number in counts.items():
+            for _ in range(number):
+                answer = self.members[name].admit(self.team)
+                admitted += isinstance(answer, Admitted)
+        return admitted
+
+
+def run_load(fleet, choose_counts, seconds):
+    admitted = []
+    for _ in range(round(seconds / PERIOD_S)):
+        admitted.append(fleet.offer(choose_counts()))
+        fleet.step()
+    return admitted
+
+
+def most_in_window(admitted, window_s=5):
+    width = round(window_s / PERIOD_S)
+    return max(sum(admitted[at : at + width]) for at in range(len(admitted)))
+
+
+def test_team_that_sends_many_times_its_rate_gets_its_rate():
+    """Guards against a sum of shares, or of borrowed tokens, above the rate."""
+    fleet = Fleet(9)
+    run_load(fleet, dict, 10)
+    admitted = run_load(fleet, lambda: dict.fromkeys(fleet.members, 2), 30)
+    assert most_in_window(admitted) <= (9 * 5 + 9) * 1.1 + 20
+    assert sum(admitted) >= 0.9 * 9 * 30
+
+
+def test_small_team_is_rarely_refused_below_its_rate():
+    """Replays scattered requests of a small team, which even shares refused."""
+    fleet = Fleet(9)
+    run_load(fleet, dict, 10)
+    dice = random.Random(4)
+    offered = []
+
+    def scatter():
+        counts = dict.fromkeys(fleet.members, 0)
+        for _ in range(dice.choice((0, 1, 1, 2))):
+            counts[dice.choice(sorted(counts))] += 1
+        offered.append(sum(counts.values()))
+        return counts
+
+    admitted = run_load(fleet, scatter, 60)
+    assert sum(offered) / 60 < 9
+    assert sum(admitted) >= 0.97 * sum(offered)
+
+
+def test_demand_at_one_member_gets_most_of_the_rate():
+    fleet = Fleet(9)
+    run_load(fleet, dict, 10)
+    admitted = run_load(fleet, lambda: {'0': 3}, 20)
+    assert sum(admitted) / 20 >= 0.7 * 9
+
+
+def test_restart_mints_no_burst():
+    """Guards against a full bucket at the start of a run."""
+    fleet = Fleet(9)
+    run_load(fleet, dict, 10)
+    admitted = run_load(fleet, lambda: dict.fromkeys(fleet.members, 2), 3)
+    for name in fleet.members:
+        fleet.members[name] = fleet.start()
+        fleet.runs[name] = 'b'
+    admitted += run_load(fleet, lambda: dict.fromkeys(fleet.members, 2), 3)
+    assert most_in_window(admitted) <= (9 * 5 + 9) * 1.1 + 20
+
+
+def test_no_share_rises_while_a_member_is_silent():
+    """Guards against both sides of a partition taking each other's share."""
+    fleet = Fleet(9, Team('schools', rate=90, burst=9))
+    run_load(fleet, lambda: dict.fromkeys(fleet.members, 2), 10)
+    fleet.silent = {'0', '1', '2', '3'}
+    admitted = run_load(fleet, lambda: dict.fromkeys(fleet.members, 20), 10)
+    assert most_in_window(admitted) <= (90 * 5 + 9) * 1.1 + 20
+
+
+def test_refusal_tells_when_a_token_is_there():
+    fleet = Fleet(1)
+    run_load(fleet, dict, 10)
+    rates = fleet.members['0']
+    answers = [rates.admit(TEAM) for _ in range(10)]
+    assert isinstance(answers[8], Admitted)
+    assert answers[9] == OverRate(answers[9].wait_s)
+    assert 0 < answers[9].wait_s <= 1 / 9 + 0.001
+
+
+def test_team_without_a_rate_is_never_refused():
+    rates = TeamRates(ManualClock())
+    free = Team('fitters')
+    rates.set_teams([free])
+    assert all(isinstance(rates.admit(free), Admitted) for _ in range(1000))
--- /dev/null
+++ b/tests/test_direct_steering.py
@@ -0,0 +1,253 @@
+"""The life of one request: where it goes, how often, and what its caller is told."""
+
+import pytest
+
+from currantmast.clocks import ManualClock
+from currantmast.direct.beliefs import Beliefs
+from currantmast.direct.exchanges import Answer
+from currantmast.direct.front import Inbound
+from currantmast.direct.meters import Meter
+from currantmast.direct.model import (
+    Bounds,
+    Configuration,
+    InstanceRecord,
+    Part,
+    Place,
+    Route,
+    Service,
+    TargetRecord,
+    TargetState,
+    Team,
+    WorkKind,
+)
+from currantmast.direct.steering import Steering
+from currantmast.errors import (
+    AnswerIncomplete,
+    ExchangeBroken,
+    NothingSent,
+    ProgressTimeout,
+)
+from currantmast.messages import Address
+from currantmast.platform import wire
+
+HERE = Place('fife', 'fife-a')
+THERE = Place('skye', 'skye-a')
+STAMP = ('X-Currantmast-Server-Stamp', 's')
+NOT_RUN = ('X-Currantmast-Not-Executed', '1')
+
+
+def make_target(name, place=HERE, **fields):
+    return TargetRecord(name, 'desk', Address('127.0.0.1', 9), place, 3, **fields)
+
+
+def make_route(kind=WorkKind.idempotent, **fields):
+    settings = {'timeout_s': 2, 'target_latency_s': 0.5, 'attempts': 2, **fields}
+    return Route('r', 'h', '/a/', kind, (Part('desk', 1),), **settings)
+
+
+def make_configuration(route, version=1, keys=None):
+    return Configuration(
+        version=version,
+        routes=(route,),
+        services={'desk': Service('desk', cold_s=3, cold_rate=2)},
+        teams={'schools': Team('schools')},
+        keys={'k1': 'schools'} if keys is None else keys,
+    )
+
+
+class FakeExchanges:
+    """Answers each exchange with the next of a list of results."""
+
+    def __init__(self, *results):
+        self.results = list(results)
+        self.sent = []
+
+    def exchange(self, target_id, address, attempt, timeout_s, owns):
+        self.sent.append((target_id, dict(attempt.headers)))
+        found = self.results.pop(0)
+        if isinstance(found, Exception):
+            raise found
+        return found
+
+
+class World:
+    """One instance with its beliefs and scripted targets."""
+
+    def __init__(self, *results, route=None, targets=None, **configuration):
+        self.clock = ManualClock(100)
+        here = Address('127.0.0.1', 1)
+        own = InstanceRecord('i1', 'run', HERE, here, here)
+        self.beliefs = Beliefs(own, Bounds(), self.clock)
+        config = make_configuration(route or make_route(), **configuration)
+        self.beliefs.configuration.adopt(config)
+        self.beliefs.rates.set_teams(config.teams.values())
+        self.beliefs.targets_listed = True
+        self.beliefs.freshness.confirm(self.clock.now())
+        for target in targets or (make_target('t1'), make_target('t2')):
+            self.beliefs.targets.put(target)
+        self.exchanges = FakeExchanges(*results)
+        self.steering = Steering(
+            self.beliefs, wire, self.exchanges, self.clock, Meter()
+        )
+        # Lets the budget of repeats fill.
+        self.beliefs.retries.note_request('desk', Bounds())
+        self.clock.advance(4)
+        self.beliefs.freshness.confirm(self.clock.now())
+
+    def ask(self, key='k1', **headers):
+        fields = {
+            'host': 'h',
+            'x-currantmast-request-id': 'q1',
+            'x-currantmast-deadline-ms': '3000',
+            **headers,
+        }
+        if key is not None:
+            fields['api-key'] = key
+        inbound = Inbound(
+            'GET', '/a/x', list(fields.items()), b'', True, self.clock.now()
+        )
+        return self.steering.answer(inbound)
+
+
+def make_answer(status=200, *headers):
+    return Answer(status, 'Any', headers, b'body')
+
+
+OK = make_answer(200, STAMP)
+SHED = make_answer(503, NOT_RUN)
+UNSAFE = make_route(WorkKind.non_idempotent)
+
+
+def test_answer_is_passed_on_unchanged():
+    answer = World(OK).ask()
+    assert (answer.status, answer.body) == (200, b'body')
+    assert STAMP in answer.headers
+
+
+def test_target_sees_the_team_and_never_the_key():
+    world = World(OK)
+    world.ask(**{'x-currantmast-tenant': 'forged'})
+    _, headers = world.exchanges.sent[0]
+    assert headers['x-currantmast-tenant'] == 'schools'
+    assert 'k1' not in headers.values()
+    assert int(headers['x-currantmast-deadline-ms']) <= 2000
+
+
+@pytest.mark.parametrize(
+    'broken', [ExchangeBroken(''), AnswerIncomplete(''), ProgressTimeout('')]
+)
+def test_unsafe_work_is_never_sent_twice(broken):
+    """Guards against an order that runs twice after a lost answer."""
+    world = World(broken, OK, route=UNSAFE)
+    assert world.ask().status in {502, 504}
+    assert len(world.exchanges.sent) == 1
+
+
+def test_idempotent_work_is_sent_to_another_target():
+    world = World(ExchangeBroken(''), OK)
+    assert world.ask().status == 200
+    first, second = (target for target, _ in world.exchanges.sent)
+    assert first != second
+
+
+@pytest.mark.parametrize('kind', list(WorkKind))
+@pytest.mark.parametrize('not_run', [SHED, make_answer(421), NothingSent('')])
+def test_work_that_did_not_run_goes_to_another_target(kind, not_run):
+    world = World(not_run, OK, route=make_route(kind))
+    assert world.ask().status == 200
+
+
+@pytest.mark.parametrize('status', [408, 429, 503])
+def test_promise_of_a_target_that_may_have_run_is_not_passed_on(status):
+    """Guards against a refusal that says "not run" although it ran."""
+    world = World(make_answer(status, STAMP), route=UNSAFE)
+    assert world.ask().status == 502
+
+
+def test_refusal_after_a_possible_run_is_no_promise():
+    world = World(ExchangeBroken(''), SHED)
+    assert world.ask().status == 502
+
+
+def test_refusal_is_true_and_tells_when_to_come_back():
+    world = World(SHED, SHED, route=UNSAFE)
+    answer = world.ask()
+    assert answer.status == 503
+    assert float(dict(answer.headers)['Retry-After']) > 0
+
+
+def test_success_that_no_target_vouches_for_is_not_delivered():
+    assert World(make_answer(200), route=UNSAFE).ask().status == 502
+
+
+def test_failure_of_a_target_is_tried_elsewhere_and_else_passed_on():
+    failed = make_answer(500, STAMP)
+    assert World(failed, OK).ask().status == 200
+    assert World(failed, ExchangeBroken('')).ask().status == 500
+    assert World(failed, route=UNSAFE).ask().status == 500
+
+
+def test_no_more_targets_than_attempts_allow():
+    world = World(ExchangeBroken(''), ExchangeBroken(''), OK)
+    assert world.ask().status == 502
+    assert len(world.exchanges.sent) == 2
+
+
+def test_withdrawn_key_is_refused_and_a_stale_instance_admits_nobody():
+    """Guards against a suspended instance that still admits a withdrawn key."""
+    world = World(OK)
+    world.clock.advance(4.5)
+    assert world.ask().status == 503
+    world.beliefs.freshness.confirm(world.clock.now())
+    newer = make_configuration(make_route(), version=2, keys={})
+    world.beliefs.configuration.adopt(newer)
+    assert world.ask().status == 401
+    assert not world.exchanges.sent
+
+
+def test_older_configuration_is_never_put_in_force_again():
+    world = World(OK)
+    world.beliefs.configuration.adopt(make_configuration(make_route(), 5))
+    assert not world.beliefs.configuration.adopt(make_configuration(make_route(), 4))
+    assert world.beliefs.configuration.version == 5
+
+
+def test_instance_without_a_configuration_refuses_without_judging():
+    """Guards against 401 or 404 from an instance that knows nothing yet."""
+    world = World(OK)
+    world.beliefs.configuration.value = None
+    assert world.ask(key='any').status == 503
+
+
+def test_homes_of_route_and_team_both_bind():
+    targets = (make_target('t1'), make_target('t2', THERE))
+    world = World(OK, route=make_route(homes=frozenset(['skye'])), targets=targets)
+    world.ask()
+    assert world.exchanges.sent[0][0] == 't2'
+
+
+@pytest.mark.parametrize(
+    'gone',
+    [make_target('t1', state=TargetState.draining), make_target('t1', THERE)],
+)
+def test_leaving_target_and_evacuated_domain_get_nothing(gone):
+    world = World(OK, targets=(gone,))
+    world.beliefs.targets.evacuate(frozenset(['skye-a']), 3)
+    assert world.ask().status == 503
+    assert not world.exchanges.sent
+
+
+def test_cold_target_gets_no_more_than_its_bound():
+    """Replays a burst at a target that has just started."""
+    bounds = Bounds()
+    cold = make_target('t1', cold_left_s=30)
+    world = World(*[OK] * 200, targets=(cold,))
+    sent = []
+    for _ in range(100):
+        before = len(world.exchanges.sent)
+        world.ask()
+        sent.append(len(world.exchanges.sent) - before)
+        world.clock.advance(0.05)
+        world.beliefs.freshness.confirm(world.clock.now())
+    worst = max(sum(sent[at : at + 20]) for at in range(80))
+    assert 1 <= worst <= 2 * bounds.cold_factor + bounds.cold_extra
--- /dev/null
+++ b/tests/test_platform_documents.py
@@ -0,0 +1,178 @@
+"""Decoding of the platform's objects and settings."""
+
+import copy
+import tomllib
+
+import pytest
+
+from currantmast.direct.following import Unusable
+from currantmast.direct.model import Part, Place, TargetState, WorkKind
+from currantmast.errors import SettingsError
+from currantmast.messages import Address
+from currantmast.platform.boot import decode_boot
+from currantmast.platform.documents import (
+    configure_places,
+    decode_configuration,
+    decode_instance,
+    decode_target,
+)
+
+ROUTE = {
+    'res_kind': 'routes',
+    'meta': {'name': 'r1'},
+    'spec': {
+        'host': 'Shop.example',
+        'path_prefix': '/a/',
+        'type': 'idempotent',
+        'timeout_s': 2,
+        'target_latency_s': 0.5,
+        'prio': 2,
+        'backends': [
+            {'service': 's1', 'weight': 90},
+            {'service': 's2', 'weight': 0},
+        ],
+        'attempts': 2,
+        'public': False,
+        'affinity': True,
+        'home_regions': ['fife'],
+    },
+}
+CONFIG = {
+    'version': '0000000c',
+    'resources': [
+        ROUTE,
+        {
+            'res_kind': 'services',
+            'meta': {'name': 's1'},
+            'spec': {'health_path': '/h', 'max_conns': 9, 'cold_s': 3, 'cold_per_s': 2},
+        },
+        {
+            'res_kind': 'tenants',
+            'meta': {'name': 'schools'},
+            'spec': {'api_keys': ['k1', 'k2'], 'rate_per_s': 64, 'burst': 60},
+        },
+        {'res_kind': 'limits', 'meta': {}, 'spec': {'idle_s': 7.5}},
+        {'res_kind': 'of-tomorrow', 'meta': {'name': 'x'}, 'spec': {}},
+    ],
+}
+SERVER = {
+    'service': 's1',
+    'addr': '10.1.0.9:8080',
+    'zone': 'fife-a',
+    'version': 'v1',
+    'slots': 3,
+    'state': 'ready',
+    'cold_left_s': 0.5,
+    'seq': 4,
+    'born': 1700000000000,
+}
+BOOT = """
+[self]
+node = "edge-1"
+zone = "fife-a"
+region = "fife"
+ip = "10.1.0.23"
+tomorrow = 1
+[network]
+port_range = [7460, 7475]
+[network.listen]
+front = "10.1.0.23:1"
+readiness = "10.1.0.23:2"
+directory = "10.1.0.23:3"
+[network.zones]
+fife-a = "fife"
+[provider.provider]
+addr = "10.2.0.1:4"
+[terms.bounds]
+revoke_s = 4
+strict_revoke = true
+"""
+
+
+@pytest.fixture(autouse=True)
+def places():
+    configure_places({'fife-a': 'fife'})
+
+
+def test_configuration_is_decoded_whole():
+    config = decode_configuration('main', CONFIG)
+    route = config.routes[0]
+    assert config.version == 12
+    assert route.host == 'shop.example'
+    assert route.kind is WorkKind.idempotent
+    assert route.parts == (Part('s1', 90),)
+    assert route.homes == {'fife'}
+    assert config.keys == {'k1': 'schools', 'k2': 'schools'}
+    assert config.limits.idle_s == 7.5
+    assert config.services['s1'].cold_rate == 2
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'version': 12},
+        {'version': 'not hexadecimal'},
+        {'resources': None},
+        {'resources': [{**ROUTE, 'spec': {**ROUTE['spec'], 'type': 'odd'}}]},
+        {'resources': [{**ROUTE, 'spec': {**ROUTE['spec'], 'backends': []}}]},
+        {'resources': [{**ROUTE, 'spec': {**ROUTE['spec'], 'timeout_s': 'two'}}]},
+    ],
+)
+def test_odd_configuration_is_unusable(change):
+    found = decode_configuration('main', {**copy.deepcopy(CONFIG), **change})
+    assert isinstance(found, Unusable)
+    assert found.reason
+
+
+def test_target_is_decoded():
+    target = decode_target('i-1', SERVER)
+    assert target.address == Address('10.1.0.9', 8080)
+    assert target.place == Place('fife', 'fife-a')
+    assert target.state is TargetState.ready
+    assert target.started_at_ms == 1700000000000
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'slots': 'three'},
+        {'slots': 0},
+        {'state': 'sleeping'},
+        {'zone': 'nowhere'},
+        {'addr': 'host.example:80'},
+        {'addr': None},
+        {'born': 1.5},
+        {'service': None},
+    ],
+)
+def test_odd_target_names_nothing_to_use(change):
+    """Guards against an entry of another writer that ends the follower."""
+    assert isinstance(decode_target('i-1', {**SERVER, **change}), Unusable)
+
+
+@pytest.mark.parametrize('spec', [None, 'text', 7, [], {}])
+def test_unreadable_objects_are_unusable(spec):
+    assert isinstance(decode_target('i-1', spec), Unusable)
+    assert isinstance(decode_configuration('main', spec), Unusable)
+    assert isinstance(decode_instance('i1', spec), Unusable)
+
+
+def test_settings_are_decoded_and_unknown_fields_ignored():
+    settings = decode_boot(tomllib.loads(BOOT), 'boot.toml')
+    assert settings.peer == Address('10.1.0.23', 7460)
+    assert settings.bounds.revoke_s == 4
+    assert settings.regions == {'fife-a': 'fife'}
+
+
+@pytest.mark.parametrize(
+    ('found', 'replaced'),
+    [
+        ('node = "edge-1"', ''),
+        ('[7460, 7475]', '["a", "b"]'),
+        ('"10.1.0.23:1"', '"localhost:1"'),
+        ('revoke_s = 4', 'revoke_s = "soon"'),
+    ],
+)
+def test_odd_settings_are_rejected_with_their_file(found, replaced):
+    with pytest.raises(SettingsError, match='boot.toml'):
+        decode_boot(tomllib.loads(BOOT.replace(found, replaced)), 'boot.toml')
