Split the larger classes of direct steering by job

The parser of callers' bytes, the coldness, ejection and history of a target, and the answers to queries each stand alone now.

--- a/currantmast/direct/beliefs.py
+++ b/currantmast/direct/beliefs.py
@@ -47,7 +47,7 @@
         self.targets_listed = False
         self.members_listed = False
         self.leaving = False
-        self.cold_bound.set_members(self.members.list_all())
+        self.cold_bound.rank_members(self.members.list_all())
 
     def __repr__(self) -> str:
         """Return the version and the number of targets."""
@@ -61,8 +61,8 @@
 
     def share_members(self) -> None:
         """Split budgets over the members that are listed now."""
-        self.retries.set_members(len(self.members))
-        self.cold_bound.set_members(self.members.list_all())
+        self.retries.split_over(len(self.members))
+        self.cold_bound.rank_members(self.members.list_all())
 
 
 class ConfigurationSubscriber:
@@ -74,7 +74,7 @@
     def put(self, name: str, value: Configuration) -> None:
         """Adopt a configuration if it is newer."""
         if self._beliefs.configuration.adopt(value):
-            self._beliefs.rates.set_teams(value.teams.values())
+            self._beliefs.rates.follow_teams(value.teams.values())
             log_event('configuration_in_force', version=value.version)
         elif value.version < self._beliefs.configuration.version:
             log_event('configuration_ignored', version=value.version)
--- a/currantmast/direct/configurations.py
+++ b/currantmast/direct/configurations.py
@@ -18,7 +18,10 @@
 
     def __init__(self, routes: Iterable[Route]) -> None:
         self._by_host: dict[str, list[Route]] = {}
-        for route in sorted(routes, key=lambda known: -len(known.prefix)):
+        longest_first = sorted(
+            routes, key=lambda route: len(route.prefix), reverse=True
+        )
+        for route in longest_first:
             self._by_host.setdefault(route.host, []).append(route)
 
     def __repr__(self) -> str:
@@ -57,7 +60,7 @@
         total = sum(part.weight for part in route.parts)
         for part in route.parts:
             credits[part.service] = credits.get(part.service, 0) + part.weight
-        chosen = max(route.parts, key=lambda part: credits[part.service])
+        chosen = max(route.parts, key=lambda known: credits[known.service])
         credits[chosen.service] -= total
         return chosen
 
--- a/currantmast/direct/exchanges.py
+++ b/currantmast/direct/exchanges.py
@@ -13,7 +13,6 @@
 import gevent
 import httptools
 import msgspec
-from gevent import Timeout
 from gevent.select import select
 from gevent.socket import create_connection
 from gevent.socket import socket as Socket
@@ -167,14 +166,14 @@
         """
         started = self._clock.now()
         sock = self._take_idle(target_id)
-        opened_s = 0.0
+        opened_s: float = 0
         if sock is None:
             sock = self._open(address, min(timeout_s, CONNECT_TIMEOUT_S))
             opened_s = self._clock.now() - started
         reader = _AnswerReader(attempt.method, owns, opened_s)
         clean = False
         try:
-            with Timeout(
+            with gevent.Timeout(
                 timeout_s - (self._clock.now() - started), ProgressTimeout('no answer')
             ):
                 answer = _converse(sock, attempt, reader)
@@ -357,7 +356,8 @@
     lines.extend(f'{name}: {text}' for name, text in attempt.headers)
     if attempt.body or attempt.method not in {'GET', 'HEAD', 'DELETE'}:
         lines.append(f'Content-Length: {len(attempt.body)}')
-    return '\r\n'.join(lines).encode('latin-1') + b'\r\n\r\n' + attempt.body
+    head = '\r\n'.join((*lines, '', '')).encode('latin-1')
+    return b''.join((head, attempt.body))
 
 
 def _is_quiet(sock: Socket) -> bool:
--- a/currantmast/direct/following.py
+++ b/currantmast/direct/following.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from enum import Enum
+from types import MappingProxyType
 from typing import Any, Protocol
 
 import msgspec
@@ -45,12 +46,14 @@
     gather_s: float
 
 
-PACES = {
-    Topic.configuration: Pace(wait_s=1.5, gather_s=0.1),
-    Topic.targets: Pace(wait_s=3.0, gather_s=0.3),
-    Topic.evacuations: Pace(wait_s=4.0, gather_s=0.3),
-    Topic.instances: Pace(wait_s=5.0, gather_s=0.5),
-}
+PACES = MappingProxyType(
+    {
+        Topic.configuration: Pace(wait_s=1.5, gather_s=0.1),
+        Topic.targets: Pace(wait_s=3.0, gather_s=0.3),
+        Topic.evacuations: Pace(wait_s=4.0, gather_s=0.3),
+        Topic.instances: Pace(wait_s=5.0, gather_s=0.5),
+    }
+)
 
 
 class Unusable(msgspec.Struct, frozen=True):
@@ -180,7 +183,9 @@
             return self._source.list_all(self.topic)
         wait_s = PACES[self.topic].wait_s
         if self._lapsing:
-            wait_s = min(wait_s, max(0, min(self._lapsing.values()) - self._clock.now()))
+            wait_s = min(
+                wait_s, max(0, min(self._lapsing.values()) - self._clock.now())
+            )
         return self._source.watch(self.topic, self._revision, wait_s)
 
     def _apply(self, news: News, whole: bool) -> None:
@@ -191,7 +196,8 @@
         for entry in news.entries:
             self._apply_entry(entry)
         now = self._clock.now()
-        for name in [name for name, due in self._lapsing.items() if due <= now]:
+        due_now = [name for name, due in self._lapsing.items() if due <= now]
+        for name in due_now:
             self._drop(name, 'lapsed')
 
     def _apply_entry(self, entry: Entry) -> None:
--- a/currantmast/direct/front.py
+++ b/currantmast/direct/front.py
@@ -14,8 +14,8 @@
 import gevent
 import httptools
 import msgspec
-from gevent import Greenlet, Timeout
 from gevent.event import Event
+from gevent.greenlet import Greenlet
 from gevent.server import StreamServer
 from gevent.socket import socket as Socket
 
@@ -38,6 +38,7 @@
 # Seconds for which a connection that was answered for the last time is read on, so that
 # unread bytes don't reset it before the answer has arrived.
 LINGER_S = 1.0
+LINGER_POLL_S = 0.01
 
 CONNECTION_HEADERS = frozenset(
     (
@@ -191,51 +192,47 @@
             self._connections.discard(connection)
 
 
-class _Connection:
-    """One connection of a caller: a reader, and a task for the request in work."""
+class _RequestReader:
+    """Parses the bytes of one connection into whole requests."""
 
-    def __init__(self, server: FrontServer, sock: Socket) -> None:
-        self._server = server
+    def __init__(self, sock: Socket, limits: CallerLimits, clock: Clock) -> None:
+        self.started_at: float | None = None
+        self.head_done = False
+        self.complete: deque[Inbound | RequestRejected] = deque()
         self._sock = sock
-        self._limits = server.get_limits()
+        self._limits = limits
+        self._clock = clock
         self._parser = httptools.HttpRequestParser(self)
-        self._waiting: deque[Inbound | RequestRejected] = deque()
-        self._arrived = Event()
-        self._task: Greenlet | None = None
-        self._busy = False
-        self._finished = False
-        self._started_at: float | None = None
-        self._head_done = False
         self._head_bytes = 0
         self._body_bytes = 0
         self._url = b''
         self._headers: list[tuple[str, str]] = []
         self._body: list[bytes] = []
 
-    def run(self) -> None:
-        """Serve the connection until it ends."""
-        self._task = gevent.spawn(self._answer_all)
+    def feed(self, received: bytes) -> bool:
+        """Parse bytes; return False when no request can follow on the connection."""
         try:
-            self._read_all()
-        except (OSError, CallerGone):
-            # The caller has left or went silent; nothing is owed to it.
-            self._finished = True
-        finally:
-            self._task.kill()
-            self._sock.close()
+            self._parser.feed_data(received)
+        except httptools.HttpParserError as error:
+            self.complete.append(_find_rejection(error))
+            return False
+        return True
 
-    def close_if_idle(self) -> None:
-        """Close the connection unless a request has begun."""
-        if not self._busy and not self._waiting and self._started_at is None:
-            self._finished = True
-            self._sock.shutdown(SHUT_RDWR)
+    def choose_timeout(self) -> float:
+        """Return the seconds that the next bytes may take."""
+        if self.started_at is None:
+            return self._limits.idle_s
+        if self.head_done:
+            return PROGRESS_TIMEOUT_S
+        elapsed_s = self._clock.now() - self.started_at
+        return max(0.001, self._limits.header_timeout_s - elapsed_s)
 
     # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
         """Begin a request."""
-        self._started_at = self._server.clock.now()
-        self._head_done = False
+        self.started_at = self._clock.now()
+        self.head_done = False
         self._head_bytes = 0
         self._body_bytes = 0
         self._url = b''
@@ -254,7 +251,7 @@
 
     def on_headers_complete(self) -> None:
         """Check the head."""
-        self._head_done = True
+        self.head_done = True
         headers = dict(self._headers)
         length = headers.get('content-length', '0')
         if length.isdigit() and int(length) > self._limits.body_bytes:
@@ -270,28 +267,57 @@
         self._body.append(body)
 
     def on_message_complete(self) -> None:
-        """Hand the whole request to the task that answers."""
+        """Keep the whole request."""
         request = Inbound(
             method=self._parser.get_method().decode('latin-1'),
             url=self._url.decode('latin-1'),
             headers=self._headers,
             body=b''.join(self._body),
             keep_alive=self._parser.should_keep_alive(),
-            received_at=self._started_at or self._server.clock.now(),
+            received_at=self.started_at or self._clock.now(),
         )
-        self._started_at = None
-        self._put(request)
+        self.started_at = None
+        self.complete.append(request)
 
     def _count_head(self, size: int) -> None:
         self._head_bytes += size
         if self._head_bytes > self._limits.header_bytes:
             raise RequestRejected(431, 'the request head is too large')
 
-    def _put(self, request: Inbound | RequestRejected) -> None:
-        if len(self._waiting) >= MAX_PIPELINED:
-            raise CallerGone('too many requests ahead')
-        self._waiting.append(request)
-        self._arrived.set()
+
+class _Connection:
+    """One connection of a caller: a reader, and a task for the request in work."""
+
+    def __init__(self, server: FrontServer, sock: Socket) -> None:
+        self._server = server
+        self._sock = sock
+        self._reader = _RequestReader(sock, server.get_limits(), server.clock)
+        self._waiting = self._reader.complete
+        self._arrived = Event()
+        self._task: Greenlet | None = None
+        self._busy = False
+        self._finished = False
+
+    def run(self) -> None:
+        """Serve the connection until it ends."""
+        self._task = gevent.spawn(self._answer_all)
+        try:
+            self._read_all()
+        except (OSError, CallerGone):
+            # The caller has left or went silent; nothing is owed to it.
+            self._finished = True
+        finally:
+            self._task.kill()
+            self._sock.close()
+
+    def close_if_idle(self) -> None:
+        """Close the connection unless a request has begun."""
+        if not self._in_work() and self._reader.started_at is None:
+            self._finished = True
+            self._sock.shutdown(SHUT_RDWR)
+
+    def _in_work(self) -> bool:
+        return self._busy or bool(self._waiting)
 
     def _read_all(self) -> None:
         while not self._finished:
@@ -304,40 +330,39 @@
         self._linger()
 
     def _receive(self) -> bytes | None:
-        self._sock.settimeout(self._choose_timeout())
+        """Return the next bytes, or None when there are none but work goes on."""
+        self._sock.settimeout(self._reader.choose_timeout())
         try:
             return self._sock.recv(CHUNK_BYTES)
         except TimeoutError:
-            if self._busy or self._waiting:
-                return None
-            if self._started_at is not None:
-                self._put(RequestRejected(408, 'the request did not arrive in time'))
+            if self._in_work():
                 return None
-            raise
-
-    def _choose_timeout(self) -> float:
-        if self._started_at is None or self._busy:
-            return self._limits.idle_s
-        if self._head_done:
-            return PROGRESS_TIMEOUT_S
-        elapsed_s = self._server.clock.now() - self._started_at
-        return max(0.001, self._limits.header_timeout_s - elapsed_s)
+            if self._reader.started_at is None:
+                raise
+        late = RequestRejected(408, 'the request did not arrive in time')
+        self._waiting.append(late)
+        self._arrived.set()
+        return None
 
     def _feed(self, received: bytes) -> None:
-        try:
-            self._parser.feed_data(received)
-        except httptools.HttpParserError as error:
-            self._put(_find_rejection(error))
+        usable = self._reader.feed(received)
+        if len(self._waiting) > MAX_PIPELINED:
+            raise CallerGone('too many requests ahead')
+        if self._waiting:
+            self._arrived.set()
+        if not usable:
             self._linger()
 
     def _linger(self) -> None:
-        with Timeout(PROGRESS_TIMEOUT_S, CallerGone('linger')):
+        """Wait for the last answer, and read on until the caller has seen it."""
+        with gevent.Timeout(PROGRESS_TIMEOUT_S, CallerGone('linger')):
             while not self._finished:
-                gevent.sleep(0.01)
-        with Timeout(LINGER_S, CallerGone('linger')):
+                gevent.sleep(LINGER_POLL_S)
+        with gevent.Timeout(LINGER_S, CallerGone('linger')):
             self._sock.settimeout(LINGER_S)
-            while self._sock.recv(CHUNK_BYTES):
-                continue
+            received = self._sock.recv(CHUNK_BYTES)
+            while received:
+                received = self._sock.recv(CHUNK_BYTES)
         raise CallerGone('answered for the last time')
 
     def _answer_all(self) -> None:
@@ -351,7 +376,7 @@
         self._busy = True
         self._server.active += 1
         try:
-            self._write(request, self._handle(request))
+            self._write(request, self._respond(request))
         except OSError:
             self._finished = True
             self._sock.close()
@@ -359,11 +384,10 @@
             self._busy = False
             self._server.active -= 1
 
-    def _handle(self, request: Inbound | RequestRejected) -> Outbound:
-        match request:
-            case RequestRejected(status=status):
-                log_event('request_rejected', status=status, error=request)
-                return Outbound(status)
+    def _respond(self, request: Inbound | RequestRejected) -> Outbound:
+        if isinstance(request, RequestRejected):
+            log_event('request_rejected', status=request.status, error=request)
+            return Outbound(request.status)
         try:
             return self._server.handler(request)
         except Exception as error:
@@ -371,12 +395,11 @@
             return Outbound(HTTPStatus.BAD_GATEWAY)
 
     def _write(self, request: Inbound | RequestRejected, answer: Outbound) -> None:
-        keep = (
-            isinstance(request, Inbound)
-            and request.keep_alive
-            and not self._server.closing
-        )
-        is_head = isinstance(request, Inbound) and request.method == 'HEAD'
+        keep = False
+        is_head = False
+        if isinstance(request, Inbound):
+            keep = request.keep_alive and not self._server.closing
+            is_head = request.method == 'HEAD'
         self._sock.settimeout(PROGRESS_TIMEOUT_S)
         self._sock.sendall(encode_answer(answer, keep, is_head))
         if not keep:
@@ -397,8 +420,8 @@
         lines.append(f'Content-Length: {len(answer.body)}')
     if not keep:
         lines.append('Connection: close')
-    head = '\r\n'.join(lines).encode('latin-1')
-    return head + b'\r\n\r\n' + (b'' if is_head else answer.body)
+    head = '\r\n'.join((*lines, '', '')).encode('latin-1')
+    return head if is_head else b''.join((head, answer.body))
 
 
 def _find_phrase(status: int) -> str:
--- a/currantmast/direct/heartbeats.py
+++ b/currantmast/direct/heartbeats.py
@@ -141,8 +141,8 @@
     def _refresh(self) -> None:
         beliefs = self._beliefs
         if beliefs.members_listed:
-            beliefs.rates.set_peers(beliefs.members.list_demands())
-        beliefs.targets.set_peer_loads(beliefs.members.sum_loads())
+            beliefs.rates.follow_peers(beliefs.members.list_demands())
+        beliefs.targets.add_peer_loads(beliefs.members.sum_loads())
 
     def _choose_period(self) -> float:
         members = len(self._beliefs.members)
--- a/currantmast/direct/meters.py
+++ b/currantmast/direct/meters.py
@@ -1,6 +1,12 @@
 """Counters, histograms and gauges in the usual exposition format."""
 
-from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
 
 LATENCY_BUCKETS_S = (0.01, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2.5, 5)
 
--- a/currantmast/direct/placement.py
+++ b/currantmast/direct/placement.py
@@ -215,12 +215,12 @@
         chance = _estimate_chance(need.thing, target, homes)
         slots = target.record.slots
         ahead = max(0, target.load + 1 - slots + LOAD_LAG)
-        usual_s = self.times.get(need.service, 1) * target.slowness
+        usual_s = self.times.get(need.service, 1) * target.history.slowness
         return Chosen(
             target=target,
             transit_s=self.delays.get(target.record.place.region),
             wait_s=ahead * usual_s / slots,
-            work_s=self.times.get(need.service, chance) * target.slowness,
+            work_s=self.times.get(need.service, chance) * target.history.slowness,
             chance=chance,
             candidates=candidates,
         )
@@ -235,19 +235,22 @@
 
     def _weigh(self, option: Chosen) -> float:
         place = option.target.record.place
-        crossing_s = 0.0
+        crossing_s: float = 0
         if place.region != self._place.region:
             crossing_s = CROSS_REGION_S
         elif place.failure_domain != self._place.failure_domain:
             crossing_s = CROSS_DOMAIN_S
         expected_s = option.transit_s + option.wait_s + option.work_s
-        return expected_s + crossing_s + option.target.trouble * TROUBLE_S
+        return expected_s + crossing_s + option.target.history.trouble * TROUBLE_S
 
 
 def _estimate_chance(thing: str, target: Target, homes: 'Homes') -> float:
     if target.knows(thing):
-        return KNOWN_PART + (1 - KNOWN_PART) * target.hits
-    return homes.get_chance(target) * target.hits
+        return KNOWN_PART + (1 - KNOWN_PART) * target.history.hits
+    return homes.get_chance(target) * target.history.hits
+
+
+_Score = tuple[int, str]
 
 
 class Homes(msgspec.Struct, frozen=True):
@@ -269,7 +272,7 @@
 
 def find_homes(thing: str, targets: Iterable[Target]) -> Homes:
     """Return the targets of `targets` that keep the object `thing`."""
-    ranked: dict[str, list[tuple[int, str]]] = {}
+    ranked: dict[str, list[_Score]] = {}
     for target in targets:
         record: TargetRecord = target.record
         score = (_score(thing, record.id), record.id)
--- a/currantmast/direct/probes.py
+++ b/currantmast/direct/probes.py
@@ -41,20 +41,18 @@
         """Probe for ever."""
         while True:
             for target in self._beliefs.targets.list_all():
-                if target.needs_probe():
-                    target.probed = True
+                if target.ejection.begin_probe():
                     gevent.spawn(self.probe, target)
             self._clock.sleep(PERIOD_S)
 
     def probe(self, target: Target) -> None:
         """Ask one target and record what it says."""
-        healthy, cold_s = False, 0.0
+        healthy = False
+        cold_s: float = 0
         try:
             healthy, cold_s = self._ask(target)
         except TransportError as error:
             log_event('probe_failed', target=target.record.id, error=error)
-        finally:
-            target.probed = False
         target.note_probe(healthy, cold_s)
         log_event(
             'target_probed', target=target.record.id, healthy=healthy, cold_s=cold_s
--- a/currantmast/direct/process.py
+++ b/currantmast/direct/process.py
@@ -22,10 +22,10 @@
 from currantmast.direct.following import Follower, Source, Topic
 from currantmast.direct.front import FrontServer, Inbound, Outbound
 from currantmast.direct.heartbeats import HeartbeatLink
-from currantmast.direct.members import choose_named
 from currantmast.direct.meters import Meter
 from currantmast.direct.model import CallerLimits, DirectSettings, InstanceRecord
 from currantmast.direct.probes import Prober
+from currantmast.direct.queries import Queries
 from currantmast.direct.requests import Registry, Wire
 from currantmast.direct.steering import Steering
 from currantmast.errors import SettingsError, StoreError, TaskFailed
@@ -33,7 +33,6 @@
 from currantmast.runtime.supervisor import Supervisor, check_backend
 
 INCARNATION_BYTES = 6
-LOOKUP_TTL_S = 2.0
 HOUSEKEEPING_S = 0.5
 RELOAD_S = 1.0
 
@@ -46,6 +45,10 @@
 EXIT_FAILED = 70
 
 
+class Store(Source, Registry, Protocol):
+    """The platform's store: reads, and writes of instance records."""
+
+
 class Adapter(Protocol):
     """A platform, as one object."""
 
@@ -54,8 +57,8 @@
     def load_settings(self) -> DirectSettings:
         """Return the settings in force."""
 
-    def open_store(self, settings: DirectSettings) -> tuple[Source, Registry]:
-        """Return the store's reads and writes."""
+    def open_store(self, settings: DirectSettings) -> Store:
+        """Return the store."""
 
 
 class DirectInstance:
@@ -77,7 +80,7 @@
         self._adapter = adapter
         self._settings = settings
         self._clock = clock
-        self._source, self._registry = adapter.open_store(settings)
+        self._store = adapter.open_store(settings)
         own = InstanceRecord(
             settings.id,
             secrets.token_hex(INCARNATION_BYTES),
@@ -136,10 +139,11 @@
 
     def _open_side_servers(self) -> tuple[FrontServer, ...]:
         settings = self._settings
+        queries = Queries(self.beliefs, self._adapter.wire, self._meter)
         handlers = (
-            (settings.readiness, self._answer_readiness),
-            (settings.lookup, self._answer_lookup),
-            (settings.metrics, self._answer_metrics),
+            (settings.readiness, queries.answer_readiness),
+            (settings.lookup, queries.answer_lookup),
+            (settings.metrics, queries.answer_metrics),
         )
         return tuple(self._make_server(*pair) for pair in handlers)
 
@@ -168,7 +172,7 @@
             (Topic.instances, self._instances, self._note_members),
         )
         for topic, subscriber, on_read in followers:
-            follower = Follower(topic, self._source, subscriber, self._clock, on_read)
+            follower = Follower(topic, self._store, subscriber, self._clock, on_read)
             supervisor.add(f'follow-{topic.value}', follower.run)
         supervisor.add('receive-heartbeats', link.receive)
         supervisor.add('send-heartbeats', link.send)
@@ -187,7 +191,6 @@
             self._register()
             for member_id in self.beliefs.members.list_removable():
                 self._remove_member(member_id)
-            self._show_beliefs()
             self._clock.sleep(HOUSEKEEPING_S)
 
     def _register(self) -> None:
@@ -196,7 +199,7 @@
         if self.beliefs.leaving:
             return
         try:
-            self._registry.put_instance(self.beliefs.members.own)
+            self._store.put_instance(self.beliefs.members.own)
         except StoreError as error:
             log_event('not_registered', level='WARNING', error=error)
             return
@@ -205,24 +208,12 @@
 
     def _remove_member(self, member_id: str) -> None:
         try:
-            self._registry.delete_instance(member_id)
+            self._store.delete_instance(member_id)
         except StoreError as error:
             log_event('member_not_removed', member=member_id, error=error)
             return
         log_event('member_removed', member=member_id)
 
-    def _show_beliefs(self) -> None:
-        beliefs = self.beliefs
-        levels = {
-            'configuration_version': beliefs.configuration.version,
-            'configuration_age_seconds': beliefs.freshness.age(),
-            'targets': len(beliefs.targets),
-            'members': len(beliefs.members),
-            'members_ready': len(beliefs.members.list_ready()),
-        }
-        for name, level in levels.items():
-            self._meter.show(name, level)
-
     def _reload(self) -> None:
         while True:
             self._clock.sleep(RELOAD_S)
@@ -235,24 +226,6 @@
                 self.beliefs.bounds = settings.bounds
                 log_event('settings_reloaded', revoke_s=settings.bounds.revoke_s)
 
-    def _answer_readiness(self, inbound: Inbound) -> Outbound:
-        return Outbound(200 if self.beliefs.is_ready() else 503)
-
-    def _answer_metrics(self, inbound: Inbound) -> Outbound:
-        headers = (('Content-Type', 'text/plain; version=0.0.4'),)
-        return Outbound(200, headers, self._meter.write())
-
-    def _answer_lookup(self, inbound: Inbound) -> Outbound:
-        query = self._adapter.wire.decode_lookup(inbound)
-        members = self.beliefs.members
-        own = (members.own,) if self.beliefs.is_ready() else ()
-        named = choose_named(
-            members.own, (*own, *members.list_ready()), query.region, query.domain
-        )
-        addresses = tuple(str(record.public) for record in named)
-        ttl_s = min(LOOKUP_TTL_S, self.beliefs.bounds.lookup_ttl_s)
-        return self._adapter.wire.encode_lookup(addresses, ttl_s)
-
     def _leave(
         self, supervisor: Supervisor, front: FrontServer, link: HeartbeatLink
     ) -> None:
--- a/currantmast/direct/rates.py
+++ b/currantmast/direct/rates.py
@@ -113,7 +113,7 @@
         """Return the number of teams."""
         return f'<TeamRates teams={len(self._shares)}>'
 
-    def set_teams(self, teams: Iterable[Team]) -> None:
+    def follow_teams(self, teams: Iterable[Team]) -> None:
         """Take over the limits of a configuration."""
         self._teams = {team.name: team for team in teams if team.rate > 0}
         for name in set(self._shares) - set(self._teams):
@@ -123,7 +123,7 @@
                 self._shares[name] = _TeamShare(self._clock)
         self._resize()
 
-    def set_peers(self, peers: Iterable[DemandReport]) -> None:
+    def follow_peers(self, peers: Iterable[DemandReport]) -> None:
         """Take over what the other members last announced."""
         self._peers = tuple(peers)
         for peer in self._peers:
--- a/currantmast/direct/retries.py
+++ b/currantmast/direct/retries.py
@@ -29,7 +29,7 @@
         """Return the number of services."""
         return f'<RetryBudgets services={len(self._buckets)}>'
 
-    def set_members(self, count: int) -> None:
+    def split_over(self, count: int) -> None:
         """Split the extra repeats over `count` members."""
         self._members = max(1, count)
 
--- a/currantmast/direct/steering.py
+++ b/currantmast/direct/steering.py
@@ -1,6 +1,7 @@
 """Steering: the life of one request, from its arrival to its answer."""
 
 from http import HTTPStatus
+from types import MappingProxyType
 
 import msgspec
 
@@ -134,9 +135,9 @@
         team = beliefs.configuration.find_team(call.key or '')
         if team is None:
             return self._refuse(call, Reason.key_unknown)
-        match beliefs.rates.admit(team):
-            case OverRate(wait_s):
-                return self._refuse(call, Reason.rate_exceeded, wait_s, team)
+        admission = beliefs.rates.admit(team)
+        if isinstance(admission, OverRate):
+            return self._refuse(call, Reason.rate_exceeded, admission.wait_s, team)
         return team
 
     def _make_admission(
@@ -172,27 +173,19 @@
                 break
         return tries.conclude(ending)
 
-    def _send(
-        self, inbound: Inbound, admitted: Admission, chosen: Chosen
-    ) -> Ending:
+    def _send(self, inbound: Inbound, admitted: Admission, chosen: Chosen) -> Ending:
         target = chosen.target
         started = self._clock.now()
         target.in_flight += 1
         try:
             answer = self._exchange(inbound, admitted, target)
         except NothingSent as error:
-            target.eject()
+            target.ejection.begin()
             log_event('target_unreachable', target=target.record.id, error=error)
             return NotRun(Reason.unreachable)
-        except ProgressTimeout:
-            target.note_failure()
-            return OutcomeUnknown(Reason.deadline)
-        except AnswerIncomplete:
-            target.note_failure()
-            return OutcomeUnknown(Reason.answer_incomplete)
-        except ExchangeBroken:
+        except ExchangeBroken as error:
             target.note_failure()
-            return OutcomeUnknown(Reason.connection_lost)
+            return OutcomeUnknown(_find_reason(error))
         finally:
             target.in_flight -= 1
         return self._judge(admitted, chosen, answer, started)
@@ -228,7 +221,7 @@
                 return NotRun(Reason.target_shed)
             case Shed.misdirected:
                 # Another target has the address now; the list will say so.
-                target.eject()
+                target.ejection.begin()
                 return NotRun(Reason.target_lost)
         if seen.status >= SERVER_ERROR:
             target.note_failure()
@@ -247,7 +240,7 @@
         times = self._beliefs.placement.times
         knew = target.knows(thing) or times.was_warm(admitted.service, work_s)
         usual_s = times.get(admitted.service, 1 if knew else 0)
-        target.note_success(work_s / usual_s)
+        target.history.note_success(work_s / usual_s)
         times.note(admitted.service, work_s)
         if thing:
             if chosen.chance > 0:
@@ -335,7 +328,9 @@
         """Return whether there is time and a try left."""
         admitted = self._admitted
         in_time = self._clock.now() < admitted.ends_at
-        return in_time and self.count < MAX_TRIES and self._sent < admitted.route.attempts
+        return (
+            in_time and self.count < MAX_TRIES and self._sent < admitted.route.attempts
+        )
 
     def choose(self) -> Chosen | NoRoom:
         """Return the target for the next try."""
@@ -361,17 +356,16 @@
         self.last = chosen
         self.ids.append(chosen.target.record.id)
         self._sent += 1
-        if chosen.target.is_cold():
-            chosen.target.take_cold_token(self._get_cold_rate(chosen.target))
+        if chosen.target.coldness.is_cold():
+            chosen.target.coldness.take_token(self._get_cold_rate(chosen.target))
 
     def prefer(self, ending: Ending) -> Ending:
         """Return the better one of `ending` and a failure that a target answered."""
-        match ending:
-            case Settled(_, seen):
-                if seen.status >= SERVER_ERROR:
-                    self._failed = ending
-                return ending
-        return self._failed or ending
+        if not isinstance(ending, Settled):
+            return self._failed or ending
+        if ending.seen.status >= SERVER_ERROR:
+            self._failed = ending
+        return ending
 
     def may_repeat(self, ending: Ending) -> bool:
         """Return whether another target may get the request after `ending`."""
@@ -419,9 +413,9 @@
             return False
         if target.record.id in self.ids:
             return False
-        if service is None or not service.cold_rate or not target.is_cold():
+        if service is None or not service.cold_rate or not target.coldness.is_cold():
             return True
-        return target.has_cold_token(self._get_cold_rate(target))
+        return target.coldness.has_token(self._get_cold_rate(target))
 
     def _get_cold_rate(self, target: Target) -> float:
         config = self._beliefs.configuration.value
@@ -442,6 +436,15 @@
     return seen.stamped or seen.status >= HTTPStatus.MULTIPLE_CHOICES
 
 
+def _find_reason(error: ExchangeBroken) -> Reason:
+    match error:
+        case ProgressTimeout():
+            return Reason.deadline
+        case AnswerIncomplete():
+            return Reason.answer_incomplete
+    return Reason.connection_lost
+
+
 def _describe(ending: Ending) -> tuple[str, str]:
     match ending:
         case Settled(_, seen):
@@ -454,12 +457,14 @@
             return 'unknown', reason.value
 
 
-STATUSES = {
-    Reason.key_unknown: HTTPStatus.UNAUTHORIZED,
-    Reason.service_unknown: HTTPStatus.NOT_FOUND,
-    Reason.bad_request: HTTPStatus.BAD_REQUEST,
-    Reason.rate_exceeded: HTTPStatus.TOO_MANY_REQUESTS,
-}
+STATUSES = MappingProxyType(
+    {
+        Reason.key_unknown: HTTPStatus.UNAUTHORIZED,
+        Reason.service_unknown: HTTPStatus.NOT_FOUND,
+        Reason.bad_request: HTTPStatus.BAD_REQUEST,
+        Reason.rate_exceeded: HTTPStatus.TOO_MANY_REQUESTS,
+    }
+)
 
 
 def _encode_refusal(refusal: NotRun, after_s: float | None) -> Outbound:
--- a/currantmast/direct/targets.py
+++ b/currantmast/direct/targets.py
@@ -31,6 +31,10 @@
 SLOWNESS_WEIGHT = 0.25
 MOST_SLOWNESS = 8.0
 
+# Weight of a shed request in the share of failures: less than a failure, since nothing
+# ran and the target is well.
+SHED_WEIGHT = 0.125
+
 # Weight of one run in the share of objects that a target still knew.
 HIT_WEIGHT = 0.1
 
@@ -49,6 +53,144 @@
     slots: int
 
 
+class Coldness:
+    """Whether a target has just started, and how much it may get meanwhile.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    """
+
+    __slots__ = ('_bucket', '_clock', '_until')
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._bucket = TokenBucket(clock)
+        self._until = clock.now()
+
+    def __repr__(self) -> str:
+        """Return the state."""
+        return f'<Coldness cold={self.is_cold()}>'
+
+    def mark(self, seconds: float) -> None:
+        """Treat the target as cold for `seconds` from now."""
+        self._until = max(self._until, self._clock.now() + seconds)
+
+    def is_cold(self) -> bool:
+        """Return whether the target is cold."""
+        return self._clock.now() < self._until
+
+    def has_token(self, rate: float) -> bool:
+        """Return whether it may get a request now, at `rate` requests a second."""
+        self._bucket.resize(rate, 1)
+        return self._bucket.count() >= 1
+
+    def take_token(self, rate: float) -> None:
+        """Record a request sent, at `rate` requests a second."""
+        self._bucket.resize(rate, 1)
+        self._bucket.take(1)
+
+
+class Ejection:
+    """Whether a target gets nothing until a probe succeeds.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    """
+
+    __slots__ = ('_backoff_s', '_clock', '_probing', '_until')
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._backoff_s = FIRST_EJECTION_S
+        self._probing = False
+        self._until: float = 0
+
+    def __bool__(self) -> bool:
+        """Return whether the target is ejected."""
+        return self._until > 0
+
+    def __repr__(self) -> str:
+        """Return the state."""
+        return f'<Ejection ejected={bool(self)}>'
+
+    def begin(self) -> None:
+        """Eject the target."""
+        if not self:
+            self._until = self._clock.now() + self._backoff_s
+
+    def begin_probe(self) -> bool:
+        """Return whether a probe is due, which the caller then makes."""
+        due = bool(self) and not self._probing and self._until <= self._clock.now()
+        self._probing = self._probing or due
+        return due
+
+    def end_probe(self, healthy: bool) -> None:
+        """Record the end of a probe."""
+        self._probing = False
+        self._backoff_s = min(LAST_EJECTION_S, self._backoff_s * 2)
+        self._until = self._clock.now() + self._backoff_s
+        if healthy:
+            self._until = 0
+            self._backoff_s = FIRST_EJECTION_S
+
+
+class History:
+    """How well a target has served lately; forgets with time.
+
+    Parameters
+    ----------
+    now : float
+        Time in seconds at which it begins.
+
+    Attributes
+    ----------
+    slowness : float
+        Factor by which it has been slower than its service's average.
+    trouble : float
+        Share of recent requests that it failed, from 0 to 1.
+    failures : int
+        Failures since the last success.
+    hits : float
+        Share of the objects sent to it for their sake that it still knew.
+    """
+
+    __slots__ = ('_noted_at', 'failures', 'hits', 'slowness', 'trouble')
+
+    def __init__(self, now: float) -> None:
+        self.slowness: float = 1
+        self.trouble: float = 0
+        self.failures = 0
+        self.hits: float = 1
+        self._noted_at = now
+
+    def __repr__(self) -> str:
+        """Return slowness and trouble."""
+        return f'<History slowness={self.slowness:.2f} trouble={self.trouble:.2f}>'
+
+    def forget(self, now: float) -> None:
+        """Forget what lies back in time."""
+        kept = 0.5 ** ((now - self._noted_at) / MEMORY_HALF_LIFE_S)
+        self._noted_at = now
+        self.slowness = 1 + (self.slowness - 1) * kept
+        self.trouble *= kept
+
+    def note_success(self, slowness: float) -> None:
+        """Record an answer that took `slowness` times the usual time."""
+        self.failures = 0
+        bounded = min(MOST_SLOWNESS, slowness)
+        self.slowness += SLOWNESS_WEIGHT * (bounded - self.slowness)
+        self.trouble *= 1 - SLOWNESS_WEIGHT
+
+    def note_failure(self, weight: float) -> None:
+        """Record a request that it failed."""
+        self.failures += 1
+        self.trouble += weight * (1 - self.trouble)
+
+
 class Target:
     """One run of a target.
 
@@ -62,20 +204,13 @@
 
     __slots__ = (
         '_clock',
-        '_cold_bucket',
-        '_cold_until',
-        '_ejected_until',
-        '_ejection_s',
-        '_failures',
-        '_hits',
-        '_noted_at',
+        '_history',
         '_shed',
-        '_slowness',
-        '_trouble',
         '_warm',
+        'coldness',
+        'ejection',
         'in_flight',
         'peers_in_flight',
-        'probed',
         'record',
     )
 
@@ -84,17 +219,11 @@
         self.record = record
         self.in_flight = 0
         self.peers_in_flight = 0
-        self.probed = False
-        self._cold_until = clock.now() + record.cold_left_s
-        self._cold_bucket = TokenBucket(clock)
-        self._ejected_until: float = 0
-        self._ejection_s = FIRST_EJECTION_S
-        self._failures = 0
-        self._hits: float = 1
-        self._noted_at = clock.now()
+        self.coldness = Coldness(clock)
+        self.coldness.mark(record.cold_left_s)
+        self.ejection = Ejection(clock)
+        self._history = History(clock.now())
         self._shed: tuple[int, float] = (0, 0)
-        self._slowness: float = 1
-        self._trouble: float = 0
         self._warm: OrderedDict[str, None] = OrderedDict()
 
     def __repr__(self) -> str:
@@ -107,16 +236,10 @@
         return self.in_flight + self.peers_in_flight
 
     @property
-    def slowness(self) -> float:
-        """Factor by which it has been slower than its service's average."""
-        self._forget()
-        return self._slowness
-
-    @property
-    def trouble(self) -> float:
-        """Share of recent requests that it failed, from 0 to 1."""
-        self._forget()
-        return min(1, self._trouble)
+    def history(self) -> History:
+        """How well it has served lately."""
+        self._history.forget(self._clock.now())
+        return self._history
 
     def update(self, record: TargetRecord) -> None:
         """Take over a newer record of the same run."""
@@ -125,23 +248,11 @@
         self.record = record
 
     def mark_cold(self, seconds: float) -> None:
-        """Treat it as cold for `seconds` from now."""
+        """Treat it as cold, knowing no object, for `seconds` from now."""
         if seconds > 0:
-            self._cold_until = max(self._cold_until, self._clock.now() + seconds)
+            self.coldness.mark(seconds)
             self._warm.clear()
 
-    def is_cold(self) -> bool:
-        """Return whether it has just started."""
-        return self._clock.now() < self._cold_until
-
-    def is_ejected(self) -> bool:
-        """Return whether it gets nothing until a probe succeeds."""
-        return self._ejected_until > 0
-
-    def needs_probe(self) -> bool:
-        """Return whether it is time to ask an ejected target whether it is well."""
-        return 0 < self._ejected_until <= self._clock.now() and not self.probed
-
     def limit_load(self, most: int) -> int:
         """Return the most requests it may hold, lowered for a while after it shed."""
         limit, until = self._shed
@@ -151,14 +262,9 @@
         """Return whether it handled the object `thing` lately."""
         return thing in self._warm
 
-    @property
-    def hits(self) -> float:
-        """Share of the objects sent to it for their sake that it still knew."""
-        return self._hits
-
     def note_hit(self, hit: bool) -> None:
         """Record whether it still knew an object that was sent to it for its sake."""
-        self._hits += HIT_WEIGHT * (hit - self._hits)
+        self._history.hits += HIT_WEIGHT * (hit - self._history.hits)
 
     def note_handled(self, thing: str) -> None:
         """Record that it handled the object `thing`."""
@@ -167,64 +273,23 @@
         if len(self._warm) > WARM_OBJECTS:
             self._warm.popitem(last=False)
 
-    def note_success(self, slowness: float) -> None:
-        """Record an answer that took `slowness` times the usual time."""
-        self._forget()
-        self._failures = 0
-        bounded = min(MOST_SLOWNESS, slowness)
-        self._slowness += SLOWNESS_WEIGHT * (bounded - self._slowness)
-        self._trouble *= 1 - SLOWNESS_WEIGHT
-
     def note_failure(self) -> None:
         """Record a request that it failed or whose connection broke."""
-        self._forget()
-        self._failures += 1
-        self._trouble += SLOWNESS_WEIGHT * (1 - self._trouble)
-        if self._failures >= EJECT_AFTER:
-            self.eject()
+        self.history.note_failure(SLOWNESS_WEIGHT)
+        if self._history.failures >= EJECT_AFTER:
+            self.ejection.begin()
 
     def note_shed(self) -> None:
         """Record that it was full."""
-        self._forget()
-        self._trouble += SLOWNESS_WEIGHT / 2 * (1 - self._trouble)
-        held = max(1, self.load - 1)
-        self._shed = (held, self._clock.now() + SHED_S)
-
-    def eject(self) -> None:
-        """Send nothing until a probe succeeds."""
-        if not self.is_ejected():
-            self._ejected_until = self._clock.now() + self._ejection_s
+        self.history.trouble += SHED_WEIGHT * (1 - self._history.trouble)
+        self._shed = (max(1, self.load - 1), self._clock.now() + SHED_S)
 
     def note_probe(self, healthy: bool, cold_s: float) -> None:
         """Record the end of a probe; a target that returns is cold for `cold_s`."""
+        self.ejection.end_probe(healthy)
         if healthy:
-            self._ejected_until = 0
-            self._ejection_s = FIRST_EJECTION_S
-            self._failures = 0
+            self._history.failures = 0
             self.mark_cold(cold_s)
-            return
-        self._ejection_s = min(LAST_EJECTION_S, self._ejection_s * 2)
-        self._ejected_until = self._clock.now() + self._ejection_s
-
-    def take_cold_token(self, rate: float) -> bool:
-        """Return whether a cold target may get one more request at `rate` a second."""
-        self._resize_cold(rate)
-        return self._cold_bucket.take(1)
-
-    def has_cold_token(self, rate: float) -> bool:
-        """Return whether `take_cold_token` would succeed."""
-        self._resize_cold(rate)
-        return self._cold_bucket.count() >= 1
-
-    def _resize_cold(self, rate: float) -> None:
-        self._cold_bucket.resize(rate, 1)
-
-    def _forget(self) -> None:
-        now = self._clock.now()
-        kept = 0.5 ** ((now - self._noted_at) / MEMORY_HALF_LIFE_S)
-        self._noted_at = now
-        self._slowness = 1 + (self._slowness - 1) * kept
-        self._trouble *= kept
 
 
 class ColdBound:
@@ -251,7 +316,7 @@
         """Return the number of members."""
         return f'<ColdBound members={len(self._members)}>'
 
-    def set_members(self, members: Iterable[InstanceRecord]) -> None:
+    def rank_members(self, members: Iterable[InstanceRecord]) -> None:
         """Take over the members of the fleet."""
         self._members = tuple(members)
         self._ranks.clear()
@@ -338,7 +403,7 @@
             for target in self._by_service.get(service, ())
             if target.record.state is TargetState.ready
             and target.record.place.failure_domain not in self.evacuated
-            and not target.is_ejected()
+            and not target.ejection
         ]
 
     def evacuate(self, domains: frozenset[str], cold_s: float) -> None:
@@ -349,7 +414,7 @@
             if target.record.place.failure_domain in returned:
                 target.mark_cold(cold_s)
 
-    def set_peer_loads(self, loads: dict[str, int]) -> None:
+    def add_peer_loads(self, loads: dict[str, int]) -> None:
         """Take over how many requests the other members have at each target."""
         for target in self._targets.values():
             target.peers_in_flight = loads.get(target.record.id, 0)
--- a/currantmast/platform/adapter.py
+++ b/currantmast/platform/adapter.py
@@ -33,11 +33,10 @@
         """
         return load_boot(self._path)
 
-    def open_store(self, settings: DirectSettings) -> tuple[ObjectStore, ObjectStore]:
-        """Return the store's reads and writes."""
+    def open_store(self, settings: DirectSettings) -> ObjectStore:
+        """Return the store."""
         configure_places(settings.regions)
-        store = ObjectStore(settings.store)
-        return store, store
+        return ObjectStore(settings.store)
 
 
 def run_platform() -> int:
--- a/currantmast/platform/boot.py
+++ b/currantmast/platform/boot.py
@@ -106,7 +106,9 @@
     try:
         return _build(msgspec.convert(document, _Boot))
     except (msgspec.MsgspecError, ValueError) as error:
-        raise SettingsError(file, '-', str(error), 'the fields of a boot file') from error
+        raise SettingsError(
+            file, '-', str(error), 'the fields of a boot file'
+        ) from error
 
 
 def _build(boot: _Boot) -> DirectSettings:
--- a/currantmast/platform/documents.py
+++ b/currantmast/platform/documents.py
@@ -2,6 +2,7 @@
 
 import math
 from collections.abc import Callable
+from types import MappingProxyType
 from typing import Any
 
 import msgspec
@@ -142,12 +143,14 @@
     return _guard(lambda found: _build_instance(name, found), spec)
 
 
-DECODERS = {
-    Topic.configuration: decode_configuration,
-    Topic.targets: decode_target,
-    Topic.evacuations: decode_evacuation,
-    Topic.instances: decode_instance,
-}
+DECODERS = MappingProxyType(
+    {
+        Topic.configuration: decode_configuration,
+        Topic.targets: decode_target,
+        Topic.evacuations: decode_evacuation,
+        Topic.instances: decode_instance,
+    }
+)
 
 
 def encode_instance(record: InstanceRecord) -> bytes:
@@ -172,26 +175,23 @@
 
 def _build_configuration(spec: Any) -> Configuration:
     config = msgspec.convert(spec, _Config)
-    by_kind: dict[str, list[_Resource]] = {}
-    for resource in config.resources:
-        by_kind.setdefault(resource.res_kind, []).append(resource)
     tenants = [
-        (resource.meta.name, msgspec.convert(resource.spec, _TenantSpec))
-        for resource in by_kind.get('tenants', ())
+        (found.meta.name, msgspec.convert(found.spec, _TenantSpec))
+        for found in _list_resources(config, 'tenants')
     ]
     limits = [
-        msgspec.convert(resource.spec, _LimitsSpec)
-        for resource in by_kind.get('limits', ())
+        msgspec.convert(found.spec, _LimitsSpec)
+        for found in _list_resources(config, 'limits')
     ]
     services = [
-        _build_service(resource.meta.name, resource.spec)
-        for resource in by_kind.get('services', ())
+        _build_service(found.meta.name, found.spec)
+        for found in _list_resources(config, 'services')
     ]
     return Configuration(
         version=int(config.version, 16),
         routes=tuple(
-            _build_route(resource.meta.name, resource.spec)
-            for resource in by_kind.get('routes', ())
+            _build_route(found.meta.name, found.spec)
+            for found in _list_resources(config, 'routes')
         ),
         services={service.name: service for service in services},
         teams={name: _build_team(name, tenant) for name, tenant in tenants},
@@ -200,6 +200,10 @@
     )
 
 
+def _list_resources(config: _Config, kind: str) -> list[_Resource]:
+    return [found for found in config.resources if found.res_kind == kind]
+
+
 def _build_route(name: str, spec: dict[str, Any]) -> Route:
     found = msgspec.convert(spec, _RouteSpec)
     parts = tuple(
--- a/currantmast/platform/store.py
+++ b/currantmast/platform/store.py
@@ -1,6 +1,7 @@
 """Client of the platform's object store."""
 
 from http import HTTPStatus
+from types import MappingProxyType
 from typing import Any
 from urllib.parse import quote, urlencode
 
@@ -25,12 +26,14 @@
 # Seconds beyond its own wait that a watch may take to answer.
 WATCH_MARGIN_S = 0.6
 
-KINDS = {
-    Topic.configuration: 'config',
-    Topic.targets: 'servers',
-    Topic.evacuations: 'evacuations',
-    Topic.instances: 'instances',
-}
+KINDS = MappingProxyType(
+    {
+        Topic.configuration: 'config',
+        Topic.targets: 'servers',
+        Topic.evacuations: 'evacuations',
+        Topic.instances: 'instances',
+    }
+)
 
 
 class ObjectStore:
--- a/currantmast/runtime/control.py
+++ b/currantmast/runtime/control.py
@@ -3,8 +3,8 @@
 from collections.abc import Mapping
 from typing import Self
 
-import gevent
-from gevent import Greenlet, socket
+from gevent import sleep, socket
+from gevent.greenlet import Greenlet
 from gevent.queue import Full, Queue
 from gevent.server import StreamServer
 
@@ -156,7 +156,7 @@
         self._peer_id = peer_id
         self._address = address
         self._queue: Queue = Queue(maxsize=SEND_BUFFER_MESSAGES)
-        self._task: Greenlet = gevent.spawn(self._run)
+        self._task: Greenlet = Greenlet.spawn(self._run)
 
     def put(self, payload: bytes) -> bool:
         """Queue a frame; return whether there was room."""
@@ -180,7 +180,7 @@
                 if connected:
                     log_event('peer_unreachable', peer=self._peer_id, error=error)
                 connected = False
-                gevent.sleep(pause_s)
+                sleep(pause_s)
                 pause_s = min(LAST_REDIAL_S, pause_s * 2)
 
     def _send_frames(self) -> None:
--- a/tests/test_direct_exchanges.py
+++ b/tests/test_direct_exchanges.py
@@ -108,9 +108,8 @@
 @pytest.mark.parametrize('cut', [20, 60, -1])
 def test_cut_answer_is_incomplete(cut):
     whole = make_answer('1', b'x' * 40)
-    with open_target([whole[:cut], 'close']) as target:
-        with pytest.raises(AnswerIncomplete):
-            send(target, '1')
+    with open_target([whole[:cut], 'close']) as target, pytest.raises(AnswerIncomplete):
+        send(target, '1')
 
 
 def test_unframed_answer_ends_with_its_connection():
@@ -122,15 +121,14 @@
 
 
 def test_bytes_that_are_no_answer_break_the_exchange():
-    with open_target([b'\x00\xffnonsense\r\n\r\n']) as target:
-        with pytest.raises(ExchangeBroken):
-            send(target, '1')
+    nonsense = [b'\x00\xffnonsense\r\n\r\n']
+    with open_target(nonsense) as target, pytest.raises(ExchangeBroken):
+        send(target, '1')
 
 
 def test_silence_is_a_timeout_and_closes_the_connection():
-    with open_target([5.0]) as target:
-        with pytest.raises(ProgressTimeout):
-            send(target, '1', timeout_s=0.1)
+    with open_target([5.0]) as target, pytest.raises(ProgressTimeout):
+        send(target, '1', timeout_s=0.1)
 
 
 def test_refused_connection_means_that_nothing_was_sent():
--- a/tests/test_direct_rates.py
+++ b/tests/test_direct_rates.py
@@ -23,7 +23,7 @@
 
     def start(self):
         rates = TeamRates(self.clock)
-        rates.set_teams([self.team])
+        rates.follow_teams([self.team])
         return rates
 
     def announce(self):
@@ -32,7 +32,7 @@
                 report = (rates.announce(), rates.count_admitted())
                 self.last[name] = DemandReport(name, self.runs[name], *report)
         for name, rates in self.members.items():
-            rates.set_peers(
+            rates.follow_peers(
                 DemandReport(
                     other,
                     self.runs[other],
@@ -140,5 +140,5 @@
 def test_team_without_a_rate_is_never_refused():
     rates = TeamRates(ManualClock())
     free = Team('fitters')
-    rates.set_teams([free])
+    rates.follow_teams([free])
     assert all(isinstance(rates.admit(free), Admitted) for _ in range(1000))
--- a/tests/test_direct_steering.py
+++ b/tests/test_direct_steering.py
@@ -80,7 +80,7 @@
         self.beliefs = Beliefs(own, Bounds(), self.clock)
         config = make_configuration(route or make_route(), **configuration)
         self.beliefs.configuration.adopt(config)
-        self.beliefs.rates.set_teams(config.teams.values())
+        self.beliefs.rates.follow_teams(config.teams.values())
         self.beliefs.targets_listed = True
         self.beliefs.freshness.confirm(self.clock.now())
         for target in targets or (make_target('t1'), make_target('t2')):
