--- a/currantmast/direct/placement.py
+++ b/currantmast/direct/placement.py
@@ -5,17 +5,21 @@
 work; bursts beyond what all targets can take.
 """
 
+from collections import OrderedDict
 from collections.abc import Iterable
 from functools import lru_cache
 
 import msgspec
 import xxhash
 
-from currantmast.direct.model import Place, TargetRecord
-from currantmast.direct.targets import Target
+from currantmast.direct.model import Place
+from currantmast.direct.targets import WARM_OBJECTS, Target
 
 # Requests that a target may hold for each of its slots, running ones included.
-LOAD_PER_SLOT = 2.5
+LOAD_PER_SLOT = 2.0
+
+# The same for requests whose object is new to the target.
+IDLE_LOAD_PER_SLOT = 1.0
 
 # Part of the time that is left which a prediction may fill.
 TIME_PART = 0.9
@@ -46,6 +50,17 @@
 # Chance that the second target for an object knows it, from earlier overflow.
 SECOND_WARM_PART = 0.5
 
+# Most times that a request may count as longer than expected.
+MOST_STRETCH = 4.0
+
+# Objects that a service is taken to have before as many were seen, and the most that
+# are counted.
+FIRST_THINGS = 24
+MAX_THINGS = 10_000
+
+# Steps of the hash that decides which objects a region keeps.
+HASH_STEPS = 1024
+
 # Delays in seconds before any connection was made.
 NEAR_DELAY_S = 0.002
 FAR_DELAY_S = 0.06
@@ -58,9 +73,10 @@
     Nobody tells which of the two a run was, so each time counts for the nearer average.
     """
 
-    __slots__ = ('_times',)
+    __slots__ = ('_stretches', '_times')
 
     def __init__(self) -> None:
+        self._stretches: dict[str, float] = {}
         self._times: dict[str, tuple[float, float]] = {}
 
     def __repr__(self) -> str:
@@ -87,6 +103,41 @@
         cold_s = max(cold_s, warm_s * LEAST_COLD_FACTOR)
         self._times[service] = (warm_s, cold_s)
 
+    def get_stretch(self, service: str) -> float:
+        """Return by how many times requests lately took longer than expected."""
+        return self._stretches.get(service, 1)
+
+    def note_stretch(self, service: str, factor: float) -> None:
+        """Record by how many times one request took longer than expected."""
+        stretch = self.get_stretch(service)
+        bounded = min(MOST_STRETCH, max(1, factor))
+        self._stretches[service] = stretch + WORK_WEIGHT * (bounded - stretch)
+
+
+class ThingCounts:
+    """How many objects each service was asked for."""
+
+    __slots__ = ('_seen',)
+
+    def __init__(self) -> None:
+        self._seen: dict[str, OrderedDict[str, None]] = {}
+
+    def __repr__(self) -> str:
+        """Return the number of services."""
+        return f'<ThingCounts services={len(self._seen)}>'
+
+    def note(self, service: str, thing: str) -> None:
+        """Record that a service was asked for an object."""
+        seen = self._seen.setdefault(service, OrderedDict())
+        seen[thing] = None
+        seen.move_to_end(thing)
+        if len(seen) > MAX_THINGS:
+            seen.popitem(last=False)
+
+    def count(self, service: str) -> int:
+        """Return the number of objects, or more while few are known."""
+        return max(FIRST_THINGS, len(self._seen.get(service, ())))
+
 
 class Delays:
     """Round trips to the regions, by the time that connections took to open."""
@@ -155,6 +206,11 @@
     chance: float
     candidates: int
 
+    @property
+    def expected_s(self) -> float:
+        """Expected latency in seconds."""
+        return self.transit_s + self.wait_s + self.work_s
+
 
 class NoRoom(msgspec.Struct, frozen=True):
     """No target can serve the request in time.
@@ -180,11 +236,12 @@
         Where this instance runs.
     """
 
-    __slots__ = ('_place', 'delays', 'times')
+    __slots__ = ('_place', 'delays', 'things', 'times')
 
     def __init__(self, place: Place) -> None:
         self._place = place
         self.delays = Delays(place.region)
+        self.things = ThingCounts()
         self.times = WorkTimes()
 
     def __repr__(self) -> str:
@@ -194,20 +251,23 @@
     def choose(self, need: Need, targets: Iterable[Target]) -> Chosen | NoRoom:
         """Return the target with the lowest cost that has room and time."""
         candidates = list(targets)
-        homes = find_homes(need.thing, candidates) if need.thing else Homes()
-        best: tuple[float, Chosen] | None = None
-        room_in_s = need.time_left_s
-        for target in candidates:
-            option = self._estimate(need, target, homes, len(candidates))
-            if not self._fits(need, option):
-                room_in_s = min(room_in_s, option.wait_s)
-                continue
-            cost = self._weigh(option)
-            if best is None or cost < best[0]:
-                best = (cost, option)
-        if best is None:
-            return NoRoom(len(candidates), room_in_s)
-        return best[1]
+        homes = Homes()
+        if need.thing:
+            self.things.note(need.service, need.thing)
+            homes = find_homes(need.thing, candidates, self.things.count(need.service))
+        options = [
+            self._estimate(need, target, homes, len(candidates))
+            for target in candidates
+        ]
+        fitting = [option for option in options if self._fits(need, option)]
+        if fitting:
+            return min(fitting, key=self._weigh)
+        waits = [option.wait_s for option in options]
+        return NoRoom(len(candidates), min((need.time_left_s, *waits)))
+
+    def note_served(self, service: str, chosen: Chosen, elapsed_s: float) -> None:
+        """Record how long a request took in all, against what was expected."""
+        self.times.note_stretch(service, elapsed_s / chosen.expected_s)
 
     def _estimate(
         self, need: Need, target: Target, homes: 'Homes', candidates: int
@@ -215,23 +275,29 @@
         chance = _estimate_chance(need.thing, target, homes)
         slots = target.record.slots
         ahead = max(0, target.load + 1 - slots + LOAD_LAG)
-        usual_s = self.times.get(need.service, 1) * target.history.slowness
+        slowness = target.history.slowness
+        usual_s = self.times.get(need.service, 1) * slowness
         return Chosen(
             target=target,
             transit_s=self.delays.get(target.record.place.region),
             wait_s=ahead * usual_s / slots,
-            work_s=self.times.get(need.service, chance) * target.history.slowness,
+            work_s=self.times.get(need.service, chance) * slowness,
             chance=chance,
             candidates=candidates,
         )
 
     def _fits(self, need: Need, option: Chosen) -> bool:
         target = option.target
-        most = target.limit_load(round(target.record.slots * LOAD_PER_SLOT))
-        if target.load >= most:
+        slots = target.record.slots
+        per_slot = LOAD_PER_SLOT
+        if need.thing and not option.chance:
+            # Objects that are new to a target push out those that it is to keep, so
+            # only what it would otherwise waste is used for them.
+            per_slot = IDLE_LOAD_PER_SLOT
+        if target.load >= target.limit_load(max(1, round(slots * per_slot))):
             return False
-        expected_s = option.transit_s + option.wait_s + option.work_s
-        return expected_s <= need.time_left_s * TIME_PART
+        stretch = self.times.get_stretch(need.service)
+        return option.expected_s * stretch <= need.time_left_s * TIME_PART
 
     def _weigh(self, option: Chosen) -> float:
         place = option.target.record.place
@@ -240,8 +306,8 @@
             crossing_s = CROSS_REGION_S
         elif place.failure_domain != self._place.failure_domain:
             crossing_s = CROSS_DOMAIN_S
-        expected_s = option.transit_s + option.wait_s + option.work_s
-        return expected_s + crossing_s + option.target.history.trouble * TROUBLE_S
+        trouble_s = option.target.history.trouble * TROUBLE_S
+        return option.expected_s + crossing_s + trouble_s
 
 
 def _estimate_chance(thing: str, target: Target, homes: 'Homes') -> float:
@@ -250,14 +316,13 @@
     return homes.get_chance(target) * target.history.hits
 
 
-_Score = tuple[int, str]
-
-
 class Homes(msgspec.Struct, frozen=True):
     """The targets that keep an object: the first and the second of each region.
 
     Every instance computes the same ones, so that all requests for an object meet the
-    same targets; when one comes or goes, only its own objects move.
+    same targets; when one comes or goes, only its own objects move. A region whose
+    targets can't keep all objects keeps a part of them, and the requests for the others
+    go to regions that do.
     """
 
     first: frozenset[str] = frozenset()
@@ -270,18 +335,33 @@
         return SECOND_WARM_PART if target.record.id in self.second else 0
 
 
-def find_homes(thing: str, targets: Iterable[Target]) -> Homes:
-    """Return the targets of `targets` that keep the object `thing`."""
-    ranked: dict[str, list[_Score]] = {}
+def find_homes(thing: str, targets: Iterable[Target], things: int) -> Homes:
+    """Return the targets of `targets` that keep the object `thing`.
+
+    Parameters
+    ----------
+    thing : str
+        The object.
+    targets : iterable of Target
+        Targets of one service.
+    things : int
+        Objects that the service is asked for.
+    """
+    regions: dict[str, list[str]] = {}
     for target in targets:
-        record: TargetRecord = target.record
-        score = (_score(thing, record.id), record.id)
-        ranked.setdefault(record.place.region, []).append(score)
-    best = [sorted(scores, reverse=True) for scores in ranked.values()]
-    return Homes(
-        first=frozenset(scores[0][1] for scores in best),
-        second=frozenset(scores[1][1] for scores in best if len(scores) > 1),
-    )
+        regions.setdefault(target.record.place.region, []).append(target.record.id)
+    first = set()
+    second = set()
+    for region, ids in regions.items():
+        copies = len(ids) * WARM_OBJECTS / max(1, things)
+        # A hash decides which objects a region keeps when it can't keep all.
+        if copies < 1 and _score(thing, region) % HASH_STEPS >= copies * HASH_STEPS:
+            continue
+        ranked = sorted(ids, key=lambda target_id: _score(thing, target_id))
+        first.add(ranked[0])
+        if copies >= 2:
+            second.update(ranked[1:2])
+    return Homes(frozenset(first), frozenset(second))
 
 
 @lru_cache(maxsize=65_536)
--- a/currantmast/direct/steering.py
+++ b/currantmast/direct/steering.py
@@ -185,6 +185,8 @@
             return NotRun(Reason.unreachable)
         except ExchangeBroken as error:
             target.note_failure()
+            elapsed_s = self._clock.now() - started
+            self._beliefs.placement.note_served(admitted.service, chosen, elapsed_s)
             return OutcomeUnknown(_find_reason(error))
         finally:
             target.in_flight -= 1
@@ -237,6 +239,7 @@
         target = chosen.target
         thing = admitted.call.thing if admitted.route.by_object else ''
         work_s = max(0.001, elapsed_s - chosen.transit_s - chosen.wait_s)
+        self._beliefs.placement.note_served(admitted.service, chosen, elapsed_s)
         times = self._beliefs.placement.times
         knew = target.knows(thing) or times.was_warm(admitted.service, work_s)
         usual_s = times.get(admitted.service, 1 if knew else 0)
@@ -297,7 +300,7 @@
             tries=tries.count,
             targets=','.join(tries.ids),
             domain=last.target.record.place.failure_domain if last else None,
-            expected_s=last.transit_s + last.wait_s + last.work_s if last else None,
+            expected_s=last.expected_s if last else None,
             wait_s=last.wait_s if last else None,
             chance=last.chance if last else None,
             homes=','.join(sorted(admitted.homes)),
