--- a/currantmast/direct/placement.py
+++ b/currantmast/direct/placement.py
@@ -7,7 +7,7 @@
 
 from collections import OrderedDict
 from collections.abc import Iterable
-from functools import lru_cache
+from functools import lru_cache, partial
 
 import msgspec
 import xxhash
@@ -357,7 +357,7 @@
         # A hash decides which objects a region keeps when it can't keep all.
         if copies < 1 and _score(thing, region) % HASH_STEPS >= copies * HASH_STEPS:
             continue
-        ranked = sorted(ids, key=lambda target_id: _score(thing, target_id))
+        ranked = sorted(ids, key=partial(_score, thing))
         first.add(ranked[0])
         if copies >= 2:
             second.update(ranked[1:2])
