--- a/currantmast/direct/model.py
+++ b/currantmast/direct/model.py
@@ -49,7 +49,7 @@
         Services, with weights above 0.
     timeout_s : float
         Longest time in seconds that a caller is kept waiting.
-    target_latency_s : float
+    latency_objective_s : float
         Time in seconds within which an answer is worth most.
     attempts : int
         Most targets to which one request may be sent.
@@ -69,7 +69,7 @@
     kind: WorkKind
     parts: tuple[Part, ...]
     timeout_s: float
-    target_latency_s: float
+    latency_objective_s: float
     attempts: int = 1
     priority: int = 0
     open: bool = False
--- a/currantmast/direct/steering.py
+++ b/currantmast/direct/steering.py
@@ -157,7 +157,7 @@
             homes=homes,
             started_at=received_at,
             ends_at=received_at + min(limit_s, route.timeout_s) - ANSWER_MARGIN_S,
-            target_at=received_at + route.target_latency_s,
+            target_at=received_at + route.latency_objective_s,
         )
 
     def _run(self, inbound: Inbound, admitted: Admission, tries: '_Tries') -> Ending:
--- a/currantmast/platform/documents.py
+++ b/currantmast/platform/documents.py
@@ -222,7 +222,7 @@
         kind=WorkKind(found.type),
         parts=parts,
         timeout_s=found.timeout_s,
-        target_latency_s=found.target_latency_s or found.timeout_s,
+        latency_objective_s=found.target_latency_s or found.timeout_s,
         attempts=max(1, found.attempts),
         priority=found.prio,
         open=found.public,
--- /dev/null
+++ b/currantmast/standins/platformstore.py
@@ -0,0 +1,186 @@
+"""Stand-in of the store of the users' platform, as its published pages describe it."""
+
+from collections import deque
+from http import HTTPStatus
+from typing import Any
+from urllib.parse import parse_qs, unquote, urlsplit
+
+import gevent
+import msgspec
+from gevent.event import Event
+
+from currantmast.clocks import BootClock
+from currantmast.direct.front import FrontServer, Inbound, Outbound
+from currantmast.direct.model import CallerLimits
+from currantmast.messages import Address
+
+PAGE_ITEMS = 50
+HISTORY_KEPT = 10_000
+MAX_WAIT_S = 30.0
+PATH_PARTS = 3
+
+
+class StoreFaults(msgspec.Struct):
+    """Faults in force.
+
+    Parameters
+    ----------
+    outage : bool
+        Every call is answered 503 without effect.
+    delay_s : float
+        Extra time before a call is answered, in seconds.
+    lost_answers : int
+        Writes still to come that take effect and are answered 502 in place of their
+        own answer.
+    """
+
+    outage: bool = False
+    delay_s: float = 0
+    lost_answers: int = 0
+
+
+class PlatformStore:
+    """Objects by kind and name with one revision counter, lists and watches.
+
+    A context manager that listens while it is open.
+
+    Parameters
+    ----------
+    address : Address
+        Where to listen; port 0 lets the kernel choose.
+    """
+
+    def __init__(self, address: Address = Address('127.0.0.1', 0)) -> None:
+        self.faults = StoreFaults()
+        self.calls: list[str] = []
+        self._objects: dict[tuple[str, str], dict[str, Any]] = {}
+        self._history: deque[tuple[int, str, dict[str, Any], bool]] = deque(
+            maxlen=HISTORY_KEPT
+        )
+        self._revision = 1
+        self._forgotten = 0
+        self._changed = Event()
+        self._server = FrontServer(address, self._answer, CallerLimits, BootClock())
+        self.address = self._server.address
+
+    def __enter__(self) -> 'PlatformStore':
+        """Start to listen."""
+        self._server.__enter__()
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        """Stop listening."""
+        self._server.__exit__(*exc_info)
+
+    def __repr__(self) -> str:
+        """Return the revision."""
+        return f'<PlatformStore revision={self._revision}>'
+
+    def put(self, kind: str, name: str, spec: Any) -> None:
+        """Write an object as the operator or a back end does."""
+        known = self._objects.get((kind, name))
+        if known is None or known['spec'] != spec:
+            self._store(kind, name, spec)
+
+    def remove(self, kind: str, name: str) -> None:
+        """Remove an object."""
+        known = self._objects.pop((kind, name), None)
+        if known is not None:
+            self._record(kind, known, deleted=True)
+
+    def forget_history(self) -> None:
+        """Drop all history: watches from before end with 410."""
+        self._history.clear()
+        self._forgotten = self._revision
+
+    def _store(self, kind: str, name: str, spec: Any) -> dict[str, Any]:
+        meta = {'name': name, 'created': self._revision, 'finalizers': []}
+        stored = {'meta': {**meta, 'deleting': False}, 'spec': spec, 'status': None}
+        self._objects[kind, name] = stored
+        self._record(kind, stored, deleted=False)
+        return stored
+
+    def _record(self, kind: str, stored: dict[str, Any], *, deleted: bool) -> None:
+        self._revision += 1
+        stored['meta']['rev'] = self._revision
+        self._history.append((self._revision, kind, stored, deleted))
+        self._changed.set()
+        self._changed.clear()
+
+    def _answer(self, inbound: Inbound) -> Outbound:
+        self.calls.append(f'{inbound.method} {inbound.url}')
+        gevent.sleep(self.faults.delay_s)
+        if self.faults.outage:
+            return Outbound(HTTPStatus.SERVICE_UNAVAILABLE)
+        answer = self._call(inbound)
+        if inbound.method != 'GET' and self.faults.lost_answers:
+            self.faults.lost_answers -= 1
+            return Outbound(HTTPStatus.BAD_GATEWAY)
+        return answer
+
+    def _call(self, inbound: Inbound) -> Outbound:
+        url = urlsplit(inbound.url)
+        parts = [unquote(part) for part in url.path.strip('/').split('/')]
+        query = {name: found[-1] for name, found in parse_qs(url.query).items()}
+        kind = parts[1] if len(parts) > 1 else ''
+        if len(parts) < PATH_PARTS:
+            if inbound.method == 'POST':
+                return self._create(kind, msgspec.json.decode(inbound.body))
+            return self._read(kind, query)
+        return self._change(inbound, kind, parts[2])
+
+    def _read(self, kind: str, query: dict[str, str]) -> Outbound:
+        if 'watch' in query:
+            return self._watch(kind, int(query['watch']), int(query['wait_ms']))
+        names = sorted(name for known, name in self._objects if known == kind)
+        after = query.get('after', '')
+        later = [name for name in names if name > after]
+        page = {
+            'items': [self._objects[kind, name] for name in later[:PAGE_ITEMS]],
+            'has_more': len(later) > PAGE_ITEMS,
+            'current_rev': self._revision,
+        }
+        return _reply(page)
+
+    def _watch(self, kind: str, revision: int, wait_ms: int) -> Outbound:
+        until = BootClock().now() + min(MAX_WAIT_S, wait_ms / 1000)
+        while True:
+            if revision < self._forgotten:
+                return Outbound(HTTPStatus.GONE)
+            events = self._list_events(kind, revision)
+            left_s = until - BootClock().now()
+            if events or left_s <= 0:
+                return _reply({'events': events, 'current_rev': self._revision})
+            self._changed.wait(left_s)
+
+    def _list_events(self, kind: str, revision: int) -> list[dict[str, Any]]:
+        return [
+            {'deleted': deleted, 'object': stored}
+            for changed_at, known, stored, deleted in self._history
+            if known == kind and changed_at > revision
+        ]
+
+    def _create(self, kind: str, document: dict[str, Any]) -> Outbound:
+        name = document['meta']['name']
+        known = self._objects.get((kind, name))
+        if known is not None:
+            return _reply(known, HTTPStatus.CONFLICT)
+        return _reply(self._store(kind, name, document.get('spec')))
+
+    def _change(self, inbound: Inbound, kind: str, name: str) -> Outbound:
+        known = self._objects.get((kind, name))
+        if known is None:
+            return Outbound(HTTPStatus.NOT_FOUND)
+        match inbound.method:
+            case 'PUT':
+                spec = msgspec.json.decode(inbound.body).get('spec')
+                self.put(kind, name, spec)
+                return _reply(self._objects[kind, name])
+            case 'DELETE':
+                self.remove(kind, name)
+        return _reply(known)
+
+
+def _reply(content: Any, status: int = HTTPStatus.OK) -> Outbound:
+    headers = (('Content-Type', 'application/json'),)
+    return Outbound(status, headers, msgspec.json.encode(content))
--- /dev/null
+++ b/tests/test_direct_following.py
@@ -0,0 +1,142 @@
+"""Following the store through outages, lapses and lost history."""
+
+from currantmast.clocks import ManualClock
+from currantmast.direct.following import Entry, Follower, News, Topic, Unusable
+from currantmast.errors import StoreUnavailable, WatchExpired
+
+
+class ScriptedSource:
+    """Answers each read with the next of a script."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.script = []
+        self.reads = []
+
+    def list_all(self, topic):
+        self.reads.append('list')
+        return self._next()
+
+    def watch(self, topic, revision, wait_s):
+        self.reads.append(('watch', revision))
+        return self._next()
+
+    def _next(self):
+        found = self.script.pop(0)
+        if isinstance(found, Exception):
+            raise found
+        return found
+
+
+class Table:
+    """Keeps what it is told."""
+
+    def __init__(self):
+        self.kept = {}
+
+    def put(self, name, value):
+        self.kept[name] = value
+
+    def remove(self, name):
+        self.kept.pop(name, None)
+
+
+class World:
+    def __init__(self, topic=Topic.targets):
+        self.clock = ManualClock(1000)
+        self.source = ScriptedSource(self.clock)
+        self.table = Table()
+        self.confirmed = []
+        self.follower = Follower(
+            topic, self.source, self.table, self.clock, self.confirmed.append
+        )
+
+    def play(self, *script, pause_s=0.1):
+        for found in script:
+            self.source.script.append(found)
+            self.follower.step()
+            self.clock.advance(pause_s)
+
+
+def put(name, revision=1, value='v'):
+    return Entry(name, revision, value)
+
+
+def gone(name, revision=9):
+    return Entry(name, revision, None)
+
+
+DOWN = StoreUnavailable('503')
+CALM = News(5, ())
+
+
+def test_watch_resumes_after_an_outage():
+    world = World()
+    world.play(News(5, (put('a'),)), DOWN, DOWN, News(7, (put('b'),)))
+    assert world.source.reads == ['list', ('watch', 5), ('watch', 5), ('watch', 5)]
+    assert set(world.table.kept) == {'a', 'b'}
+
+
+def test_lost_history_is_read_whole_again_and_what_is_missing_goes():
+    world = World()
+    world.play(News(5, (put('a'), put('b'))), WatchExpired(''), News(9, (put('b'),)))
+    assert set(world.table.kept) == {'b'}
+
+
+def test_target_removed_in_calm_is_gone_at_once():
+    world = World()
+    world.play(News(5, (put('a'),)), News(6, (gone('a'),)))
+    assert not world.table.kept
+
+
+def test_targets_that_lapse_in_an_outage_stay_until_they_had_time_to_return():
+    """Guards against a store outage that empties the list of targets."""
+    world = World()
+    world.play(News(5, (put('a'), put('b'))), DOWN, News(8, (gone('a'), gone('b'))))
+    assert set(world.table.kept) == {'a', 'b'}
+    world.play(News(9, (put('a', 9),)), pause_s=2.3)
+    world.play(CALM)
+    assert set(world.table.kept) == {'a'}
+
+
+def test_lapse_is_also_seen_in_a_whole_list():
+    world = World()
+    world.play(News(5, (put('a'),)), DOWN, WatchExpired(''), News(8, ()))
+    assert set(world.table.kept) == {'a'}
+    world.play(CALM, pause_s=2.3)
+    world.play(CALM)
+    assert not world.table.kept
+
+
+def test_evacuation_taken_back_in_an_outage_ends_at_once():
+    world = World(Topic.evacuations)
+    world.play(News(5, (put('a'),)), DOWN, News(8, (gone('a'),)))
+    assert not world.table.kept
+
+
+def test_unusable_entry_names_nothing_and_harms_no_other():
+    world = World()
+    odd = Entry('a', 6, Unusable('no slots'))
+    world.play(News(5, (put('a'), put('b'))), News(6, (odd,)))
+    assert set(world.table.kept) == {'b'}
+
+
+def test_sound_read_counts_from_its_sending():
+    """Guards against a lease that begins when a delayed answer arrives."""
+    world = World(Topic.configuration)
+    slow = News(5, ())
+    original = world.source.list_all
+
+    def answer_late(topic):
+        world.clock.advance(2)
+        return original(topic)
+
+    world.source.list_all = answer_late
+    world.play(slow)
+    assert world.confirmed == [1000]
+
+
+def test_failed_read_confirms_nothing():
+    world = World(Topic.configuration)
+    world.play(DOWN, WatchExpired(''))
+    assert not world.confirmed
--- a/tests/test_direct_steering.py
+++ b/tests/test_direct_steering.py
@@ -41,7 +41,7 @@
 
 
 def make_route(kind=WorkKind.idempotent, **fields):
-    settings = {'timeout_s': 2, 'target_latency_s': 0.5, 'attempts': 2, **fields}
+    settings = {'timeout_s': 2, 'latency_objective_s': 0.5, 'attempts': 2, **fields}
     return Route('r', 'h', '/a/', kind, (Part('desk', 1),), **settings)
 
 
--- /dev/null
+++ b/tests/test_platform_store.py
@@ -0,0 +1,116 @@
+"""The client of the platform's store, against the project's stand-in."""
+
+import gevent
+import pytest
+
+from currantmast.direct.following import Topic, Unusable
+from currantmast.direct.model import InstanceRecord, Place
+from currantmast.errors import StoreOutcomeUnknown, StoreUnavailable, WatchExpired
+from currantmast.messages import Address
+from currantmast.platform.documents import configure_places
+from currantmast.platform.store import ObjectStore
+from currantmast.standins.platformstore import PlatformStore
+
+HERE = Place('fife', 'fife-a')
+RECORD = InstanceRecord(
+    'i1', 'run-1', HERE, Address('127.0.0.1', 1), Address('127.0.0.1', 2)
+)
+
+
+def make_server(number):
+    return {
+        'service': 's1',
+        'addr': f'10.0.0.1:{1000 + number}',
+        'zone': 'fife-a',
+        'slots': 3,
+        'state': 'ready',
+    }
+
+
+@pytest.fixture
+def standin():
+    configure_places({'fife-a': 'fife'})
+    with PlatformStore() as store:
+        yield store
+
+
+@pytest.fixture
+def client(standin):
+    return ObjectStore(standin.address)
+
+
+def test_list_goes_over_all_pages(standin, client):
+    """Guards against a half-read list that takes targets for gone."""
+    for number in range(120):
+        standin.put('servers', f'i-{number:03}', make_server(number))
+    news = client.list_all(Topic.targets)
+    assert len(news.entries) == 120
+    assert {entry.name for entry in news.entries} >= {'i-000', 'i-119'}
+
+
+def test_change_between_two_pages_comes_with_the_watch(standin, client):
+    standin.put('servers', 'i-1', make_server(1))
+    revision = client.list_all(Topic.targets).revision
+    standin.put('servers', 'i-2', make_server(2))
+    standin.remove('servers', 'i-1')
+    standin.put('config', 'main', {})
+    news = client.watch(Topic.targets, revision, 0)
+    found = [(entry.name, entry.value is None) for entry in news.entries]
+    assert found == [('i-2', False), ('i-1', True)]
+
+
+def test_watch_waits_for_the_first_change(standin, client):
+    revision = client.list_all(Topic.targets).revision
+    gevent.spawn_later(0.1, standin.put, 'servers', 'i-1', make_server(1))
+    with gevent.Timeout(1):
+        news = client.watch(Topic.targets, revision, 5)
+    assert [entry.name for entry in news.entries] == ['i-1']
+
+
+def test_watch_without_a_change_ends_after_its_wait(standin, client):
+    revision = client.list_all(Topic.targets).revision
+    with gevent.Timeout(1):
+        assert not client.watch(Topic.targets, revision, 0.1).entries
+
+
+def test_forgotten_history_is_told_apart_from_an_outage(standin, client):
+    revision = client.list_all(Topic.targets).revision
+    standin.put('servers', 'i-1', make_server(1))
+    standin.forget_history()
+    with pytest.raises(WatchExpired):
+        client.watch(Topic.targets, revision, 0)
+    standin.faults.outage = True
+    with pytest.raises(StoreUnavailable):
+        client.watch(Topic.targets, revision, 0)
+
+
+def test_odd_entry_is_unusable_and_the_others_hold(standin, client):
+    standin.put('servers', 'i-1', make_server(1))
+    standin.put('servers', 'i-2', 'not a server')
+    found = {
+        entry.name: entry.value for entry in client.list_all(Topic.targets).entries
+    }
+    assert isinstance(found['i-2'], Unusable)
+    assert found['i-1'].slots == 3
+
+
+def test_silent_store_is_given_up(standin, client):
+    standin.faults.delay_s = 3
+    with gevent.Timeout(2.5), pytest.raises(StoreUnavailable):
+        client.list_all(Topic.targets)
+
+
+def test_own_record_replaces_that_of_an_earlier_run(standin, client):
+    client.put_instance(RECORD)
+    client.put_instance(RECORD)
+    entries = client.list_all(Topic.instances).entries
+    assert [entry.value for entry in entries] == [RECORD]
+    client.delete_instance('i1')
+    client.delete_instance('i1')
+    assert not client.list_all(Topic.instances).entries
+
+
+def test_write_without_an_answer_is_of_unknown_outcome(standin, client):
+    standin.faults.delay_s = 3
+    with pytest.raises(StoreOutcomeUnknown):
+        client.put_instance(RECORD)
