Regain the store over all topics at once; try idle targets; run real instances on a stand-in platform

Change: one health of the store for all topics; the first answer wakes the others; calls after a failure don't wait for a change. Change: a target with a free slot is tried if the plain expectation fits; requests without an object count as on known ones. Ruled out: missing targets, the zero candidates in the log were a wrong field.

--- a/currantmast/commands/__init__.py
+++ b/currantmast/commands/__init__.py
@@ -46,9 +46,15 @@
         """Run an instance until SIGTERM; SETTINGS is its YAML file."""
         return Task(lambda: processes.run_instance(settings))
 
-    def platform(self) -> Task:
-        """Run an instance on the users' platform until SIGTERM."""
-        return Task(processes.run_platform)
+    def platform(self, *, boot: str | None = None) -> Task:
+        """Run an instance on the users' platform until SIGTERM.
+
+        Parameters
+        ----------
+        boot : str, optional
+            The platform's settings file; else the one that the environment names.
+        """
+        return Task(lambda: processes.run_platform(boot))
 
     @take_texts('directory')
     def check(self, directory: str, *, json: bool = False) -> Task:
--- a/currantmast/commands/processes.py
+++ b/currantmast/commands/processes.py
@@ -48,7 +48,7 @@
     sys.exit(run(load_settings(path)))
 
 
-def run_platform() -> None:
+def run_platform(boot: str | None) -> None:
     """Run an instance on the platform, then end with its exit code.
 
     Raises
@@ -56,4 +56,4 @@
     SettingsError
         If the settings file is missing or rejected.
     """
-    sys.exit(load('currantmast.platform.adapter', 'run_platform')())
+    sys.exit(load('currantmast.platform.adapter', 'run_platform')(boot))
--- a/currantmast/direct/following.py
+++ b/currantmast/direct/following.py
@@ -1,11 +1,13 @@
 """Following the store: lists and watches that keep the beliefs of an instance fresh."""
 
+import math
 from collections.abc import Callable
 from enum import Enum
 from types import MappingProxyType
 from typing import Any, Protocol
 
 import msgspec
+from gevent.event import Event
 
 from currantmast.clocks import Clock
 from currantmast.errors import StoreError, WatchExpired
@@ -97,6 +99,51 @@
         """Forget an entry."""
 
 
+class StoreHealth:
+    """When the store was last lost and regained, over all topics.
+
+    The first topic that gets an answer again wakes the others, and the time in which
+    lapsed entries may come back counts from there.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    """
+
+    __slots__ = ('_answers', '_clock', 'failed_at', 'recovered_at')
+
+    def __init__(self, clock: Clock) -> None:
+        self._answers = Event()
+        self._answers.set()
+        self._clock = clock
+        self.failed_at = -math.inf
+        self.recovered_at = -math.inf
+
+    def __repr__(self) -> str:
+        """Return whether the store answers."""
+        return f'<StoreHealth answers={self._answers.is_set()}>'
+
+    def note_failure(self) -> None:
+        """Record a call without a sound answer."""
+        self.failed_at = self._clock.now()
+        self._answers.clear()
+
+    def note_success(self) -> None:
+        """Record a sound answer."""
+        if not self._answers.is_set():
+            self.recovered_at = self._clock.now()
+            self._answers.set()
+
+    def wait(self, seconds: float) -> None:
+        """Wait until the store answers again, at most `seconds`."""
+        self._answers.wait(seconds)
+
+    def may_have_lapsed(self) -> bool:
+        """Return whether an entry that is missing now may only have lapsed."""
+        return self._clock.now() - self.failed_at < LAPSE_WATCH_S
+
+
 class Follower:
     """Keeps one subscriber up to date; a task.
 
@@ -110,6 +157,8 @@
         What to keep up to date.
     clock : Clock
         Source of time.
+    health : StoreHealth
+        Shared by the followers of all topics.
     on_read : callable, optional
         Called after each sound read with the time at which it was sent.
     """
@@ -117,12 +166,11 @@
     __slots__ = (
         '_backoff_s',
         '_clock',
-        '_failed_at',
+        '_health',
         '_known',
         '_lapsing',
         '_lost',
         '_on_read',
-        '_recovered_at',
         '_revision',
         '_source',
         '_subscriber',
@@ -135,6 +183,7 @@
         source: Source,
         subscriber: Subscriber,
         clock: Clock,
+        health: StoreHealth,
         on_read: Callable[[float], None] | None = None,
     ) -> None:
         self.topic = topic
@@ -145,8 +194,7 @@
         self._revision: int | None = None
         self._known: dict[str, int] = {}
         self._lapsing: dict[str, float] = {}
-        self._failed_at = -LAPSE_WATCH_S
-        self._recovered_at = -LAPSE_WATCH_S
+        self._health = health
         self._lost = False
         self._backoff_s = FIRST_BACKOFF_S
 
@@ -157,7 +205,11 @@
     def run(self) -> None:
         """Follow for ever."""
         while True:
-            self._clock.sleep(self.step())
+            pause_s = self.step()
+            if self._lost:
+                self._health.wait(pause_s)
+            else:
+                self._clock.sleep(pause_s)
 
     def step(self) -> float:
         """Make one call and return the seconds to pause before the next."""
@@ -181,7 +233,8 @@
     def _read(self) -> News:
         if self._revision is None:
             return self._source.list_all(self.topic)
-        wait_s = PACES[self.topic].wait_s
+        # A call that fails fast shows soon that the store is back.
+        wait_s = 0 if self._lost else PACES[self.topic].wait_s
         if self._lapsing:
             wait_s = min(
                 wait_s, max(0, min(self._lapsing.values()) - self._clock.now())
@@ -223,10 +276,9 @@
         """Drop an entry at once, or later when it may only have lapsed."""
         if name not in self._known:
             return
-        now = self._clock.now()
-        if self.topic is Topic.targets and now - self._failed_at < LAPSE_WATCH_S:
-            due = self._recovered_at + LAPSE_S
-            if due > now:
+        if self.topic is Topic.targets and self._health.may_have_lapsed():
+            due = self._health.recovered_at + LAPSE_S
+            if due > self._clock.now():
                 self._lapsing[name] = due
                 return
         self._drop(name, 'removed')
@@ -238,7 +290,7 @@
         self._subscriber.remove(name)
 
     def _note_failure(self, error: StoreError) -> float:
-        self._failed_at = self._clock.now()
+        self._health.note_failure()
         if not self._lost:
             log_event(
                 'store_lost', level='WARNING', topic=self.topic.value, error=error
@@ -250,7 +302,7 @@
 
     def _note_success(self) -> None:
         self._backoff_s = FIRST_BACKOFF_S
+        self._health.note_success()
         if self._lost:
-            self._recovered_at = self._clock.now()
             log_event('store_regained', topic=self.topic.value)
         self._lost = False
--- a/currantmast/direct/placement.py
+++ b/currantmast/direct/placement.py
@@ -296,6 +296,9 @@
             per_slot = IDLE_LOAD_PER_SLOT
         if target.load >= target.limit_load(max(1, round(slots * per_slot))):
             return False
+        if target.load < slots:
+            # Nothing is waited for, and a wrong expectation must not exclude it for good.
+            return option.expected_s <= need.time_left_s
         stretch = self.times.get_stretch(need.service)
         return option.expected_s * stretch <= need.time_left_s * TIME_PART
 
@@ -311,6 +314,8 @@
 
 
 def _estimate_chance(thing: str, target: Target, homes: 'Homes') -> float:
+    if not thing:
+        return 1
     if target.knows(thing):
         return KNOWN_PART + (1 - KNOWN_PART) * target.history.hits
     return homes.get_chance(target) * target.history.hits
--- a/currantmast/direct/process.py
+++ b/currantmast/direct/process.py
@@ -19,7 +19,7 @@
     TargetSubscriber,
 )
 from currantmast.direct.exchanges import Exchanges
-from currantmast.direct.following import Follower, Source, Topic
+from currantmast.direct.following import Follower, Source, StoreHealth, Topic
 from currantmast.direct.front import FrontServer, Inbound, Outbound
 from currantmast.direct.heartbeats import HeartbeatLink
 from currantmast.direct.meters import Meter
@@ -171,8 +171,11 @@
             (Topic.evacuations, EvacuationSubscriber(beliefs), None),
             (Topic.instances, self._instances, self._note_members),
         )
+        health = StoreHealth(self._clock)
         for topic, subscriber, on_read in followers:
-            follower = Follower(topic, self._store, subscriber, self._clock, on_read)
+            follower = Follower(
+                topic, self._store, subscriber, self._clock, health, on_read
+            )
             supervisor.add(f'follow-{topic.value}', follower.run)
         supervisor.add('receive-heartbeats', link.receive)
         supervisor.add('send-heartbeats', link.send)
--- a/currantmast/direct/steering.py
+++ b/currantmast/direct/steering.py
@@ -166,6 +166,7 @@
         while tries.may_go_on():
             chosen = tries.choose()
             if isinstance(chosen, NoRoom):
+                tries.candidates = chosen.candidates
                 return tries.explain(chosen, ending)
             tries.begin(chosen)
             ending = tries.prefer(self._send(inbound, admitted, chosen))
@@ -304,7 +305,7 @@
             wait_s=last.wait_s if last else None,
             chance=last.chance if last else None,
             homes=','.join(sorted(admitted.homes)),
-            candidates=last.candidates if last else 0,
+            candidates=tries.candidates,
             version=self._beliefs.configuration.version,
         )
 
@@ -320,6 +321,7 @@
         self._may_have_run = False
         self._failed: Settled | None = None
         self.last: Chosen | None = None
+        self.candidates = 0
         self.ids: list[str] = []
 
     @property
@@ -357,6 +359,7 @@
     def begin(self, chosen: Chosen) -> None:
         """Record a try."""
         self.last = chosen
+        self.candidates = chosen.candidates
         self.ids.append(chosen.target.record.id)
         self._sent += 1
         if chosen.target.coldness.is_cold():
--- a/currantmast/platform/adapter.py
+++ b/currantmast/platform/adapter.py
@@ -1,6 +1,7 @@
 """The platform as one object, and the start of an instance on it."""
 
 import sys
+from pathlib import Path
 
 from currantmast.direct.model import DirectSettings
 from currantmast.direct.process import run_direct
@@ -12,12 +13,18 @@
 
 
 class PlatformAdapter:
-    """Settings, store and spelling of the platform."""
+    """Settings, store and spelling of the platform.
+
+    Parameters
+    ----------
+    path : Path
+        The settings file.
+    """
 
     wire = wire
 
-    def __init__(self) -> None:
-        self._path = find_boot_path()
+    def __init__(self, path: Path) -> None:
+        self._path = path
 
     def __repr__(self) -> str:
         """Return the path of the settings."""
@@ -39,7 +46,7 @@
         return ObjectStore(settings.store)
 
 
-def run_platform() -> int:
+def run_platform(boot: str | None = None) -> int:
     """Run an instance on the platform; return its exit code.
 
     Raises
@@ -47,6 +54,6 @@
     SettingsError
         If the settings are missing or rejected.
     """
-    adapter = PlatformAdapter()
+    adapter = PlatformAdapter(Path(boot) if boot else find_boot_path())
     configure_logs(adapter.load_settings().id, stream=sys.stdout)
     return run_direct(adapter)
--- a/currantmast/standins/platformstore.py
+++ b/currantmast/standins/platformstore.py
@@ -18,6 +18,7 @@
 HISTORY_KEPT = 10_000
 MAX_WAIT_S = 30.0
 PATH_PARTS = 3
+ANY_PORT = Address('127.0.0.1', 0)
 
 
 class StoreFaults(msgspec.Struct):
@@ -39,6 +40,13 @@
     lost_answers: int = 0
 
 
+class _Change(msgspec.Struct, frozen=True):
+    revision: int
+    kind: str
+    stored: dict[str, Any]
+    deleted: bool
+
+
 class PlatformStore:
     """Objects by kind and name with one revision counter, lists and watches.
 
@@ -50,13 +58,11 @@
         Where to listen; port 0 lets the kernel choose.
     """
 
-    def __init__(self, address: Address = Address('127.0.0.1', 0)) -> None:
+    def __init__(self, address: Address = ANY_PORT) -> None:
         self.faults = StoreFaults()
         self.calls: list[str] = []
-        self._objects: dict[tuple[str, str], dict[str, Any]] = {}
-        self._history: deque[tuple[int, str, dict[str, Any], bool]] = deque(
-            maxlen=HISTORY_KEPT
-        )
+        self._stored: dict[tuple[str, str], dict[str, Any]] = {}
+        self._history: deque[_Change] = deque(maxlen=HISTORY_KEPT)
         self._revision = 1
         self._forgotten = 0
         self._changed = Event()
@@ -78,13 +84,13 @@
 
     def put(self, kind: str, name: str, spec: Any) -> None:
         """Write an object as the operator or a back end does."""
-        known = self._objects.get((kind, name))
+        known = self._stored.get((kind, name))
         if known is None or known['spec'] != spec:
             self._store(kind, name, spec)
 
     def remove(self, kind: str, name: str) -> None:
         """Remove an object."""
-        known = self._objects.pop((kind, name), None)
+        known = self._stored.pop((kind, name), None)
         if known is not None:
             self._record(kind, known, deleted=True)
 
@@ -96,14 +102,14 @@
     def _store(self, kind: str, name: str, spec: Any) -> dict[str, Any]:
         meta = {'name': name, 'created': self._revision, 'finalizers': []}
         stored = {'meta': {**meta, 'deleting': False}, 'spec': spec, 'status': None}
-        self._objects[kind, name] = stored
+        self._stored[kind, name] = stored
         self._record(kind, stored, deleted=False)
         return stored
 
     def _record(self, kind: str, stored: dict[str, Any], *, deleted: bool) -> None:
         self._revision += 1
         stored['meta']['rev'] = self._revision
-        self._history.append((self._revision, kind, stored, deleted))
+        self._history.append(_Change(self._revision, kind, stored, deleted))
         self._changed.set()
         self._changed.clear()
 
@@ -130,18 +136,22 @@
         return self._change(inbound, kind, parts[2])
 
     def _read(self, kind: str, query: dict[str, str]) -> Outbound:
-        if 'watch' in query:
-            return self._watch(kind, int(query['watch']), int(query['wait_ms']))
-        names = sorted(name for known, name in self._objects if known == kind)
-        after = query.get('after', '')
+        revision = query.get('watch')
+        if revision is not None:
+            return self._watch(kind, int(revision), int(query['wait_ms']))
+        names = self._list_names(kind)
+        after = query.get('after') or ''
         later = [name for name in names if name > after]
         page = {
-            'items': [self._objects[kind, name] for name in later[:PAGE_ITEMS]],
+            'items': [self._stored[kind, name] for name in later[:PAGE_ITEMS]],
             'has_more': len(later) > PAGE_ITEMS,
             'current_rev': self._revision,
         }
         return _reply(page)
 
+    def _list_names(self, kind: str) -> list[str]:
+        return sorted(name for known, name in self._stored if known == kind)
+
     def _watch(self, kind: str, revision: int, wait_ms: int) -> Outbound:
         until = BootClock().now() + min(MAX_WAIT_S, wait_ms / 1000)
         while True:
@@ -155,27 +165,27 @@
 
     def _list_events(self, kind: str, revision: int) -> list[dict[str, Any]]:
         return [
-            {'deleted': deleted, 'object': stored}
-            for changed_at, known, stored, deleted in self._history
-            if known == kind and changed_at > revision
+            {'deleted': change.deleted, 'object': change.stored}
+            for change in self._history
+            if change.kind == kind and change.revision > revision
         ]
 
     def _create(self, kind: str, document: dict[str, Any]) -> Outbound:
         name = document['meta']['name']
-        known = self._objects.get((kind, name))
+        known = self._stored.get((kind, name))
         if known is not None:
             return _reply(known, HTTPStatus.CONFLICT)
-        return _reply(self._store(kind, name, document.get('spec')))
+        return _reply(self._store(kind, name, document['spec']))
 
     def _change(self, inbound: Inbound, kind: str, name: str) -> Outbound:
-        known = self._objects.get((kind, name))
+        known = self._stored.get((kind, name))
         if known is None:
             return Outbound(HTTPStatus.NOT_FOUND)
         match inbound.method:
             case 'PUT':
                 spec = msgspec.json.decode(inbound.body).get('spec')
                 self.put(kind, name, spec)
-                return _reply(self._objects[kind, name])
+                return _reply(self._stored[kind, name])
             case 'DELETE':
                 self.remove(kind, name)
         return _reply(known)
--- a/tests/test_direct_following.py
+++ b/tests/test_direct_following.py
@@ -1,7 +1,14 @@
 """Following the store through outages, lapses and lost history."""
 
 from currantmast.clocks import ManualClock
-from currantmast.direct.following import Entry, Follower, News, Topic, Unusable
+from currantmast.direct.following import (
+    Entry,
+    Follower,
+    News,
+    StoreHealth,
+    Topic,
+    Unusable,
+)
 from currantmast.errors import StoreUnavailable, WatchExpired
 
 
@@ -47,8 +54,14 @@
         self.source = ScriptedSource(self.clock)
         self.table = Table()
         self.confirmed = []
+        self.health = StoreHealth(self.clock)
         self.follower = Follower(
-            topic, self.source, self.table, self.clock, self.confirmed.append
+            topic,
+            self.source,
+            self.table,
+            self.clock,
+            self.health,
+            self.confirmed.append,
         )
 
     def play(self, *script, pause_s=0.1):
@@ -140,3 +153,31 @@
     world = World(Topic.configuration)
     world.play(DOWN, WatchExpired(''))
     assert not world.confirmed
+
+
+def test_time_to_return_counts_from_the_first_answer_of_any_topic():
+    """Guards against a leaving target that is used long after a partition has healed.
+
+    Found by a hunted day (scale-2 of glenbrae-mast, seed 155566213091): the list of
+    targets was read 1.6 s after the first other answer.
+    """
+    world = World()
+    world.play(News(5, (put('a'),)), DOWN)
+    world.clock.advance(10)
+    world.health.note_success()
+    world.clock.advance(1.6)
+    world.play(WatchExpired(''), News(8, ()), pause_s=0.7)
+    world.play(CALM)
+    assert not world.table.kept
+
+
+def test_first_call_after_a_failure_does_not_wait_for_a_change():
+    waits = []
+    world = World()
+    original = world.source.watch
+    world.source.watch = lambda topic, revision, wait_s: (
+        waits.append(wait_s) or original(topic, revision, wait_s)
+    )
+    world.play(News(5, ()), DOWN, CALM, CALM)
+    assert waits[1] == 0
+    assert waits[2] > 0
