--- a/currantmast/commands/__init__.py
+++ b/currantmast/commands/__init__.py
@@ -11,6 +11,7 @@
 from currantmast.commands.errors import choose_exit_code
 from currantmast.commands.keys import KeyCommands
 from currantmast.commands.options import DEFAULT_WAIT_S, Task, take_texts
+from currantmast.commands.requests import show_story
 from currantmast.commands.shifts import ShiftCommands
 from currantmast.errors import CurrantmastError
 from currantmast.loading import load_deployment
@@ -56,6 +57,20 @@
         """
         return Task(lambda: processes.run_platform(boot))
 
+    def explain_request(self, request: str, *paths: str, json: bool = False) -> Task:
+        """Show what happened to a request, from log files of instances.
+
+        Parameters
+        ----------
+        request : str
+            Id of the request.
+        paths : str
+            Log files, whole or cut, of one or more instances.
+        json : bool
+            Write the story as JSON.
+        """
+        return Task(lambda: show_story(str(request), paths, json))
+
     @take_texts('directory')
     def check(self, directory: str, *, json: bool = False) -> Task:
         """Check the deployment in DIRECTORY without publishing it.
--- a/currantmast/direct/steering.py
+++ b/currantmast/direct/steering.py
@@ -260,6 +260,7 @@
     ) -> Outbound:
         log_event(
             'request_refused',
+            level='WARNING',
             request=call.request_id,
             reason=reason,
             team=team.name if team else None,
@@ -290,6 +291,7 @@
         last = tries.last
         log_event(
             'request_ended',
+            level='INFO' if outcome == 'answered' else 'WARNING',
             request=admitted.call.request_id,
             outcome=outcome,
             reason=reason,
--- a/currantmast/platform/adapter.py
+++ b/currantmast/platform/adapter.py
@@ -9,6 +9,7 @@
 from currantmast.platform.boot import find_boot_path, load_boot
 from currantmast.platform.documents import configure_places
 from currantmast.platform.store import ObjectStore
+from currantmast.runtime.logbuffers import LogBuffer
 from currantmast.runtime.logs import configure_logs
 
 
@@ -55,5 +56,7 @@
         If the settings are missing or rejected.
     """
     adapter = PlatformAdapter(Path(boot) if boot else find_boot_path())
-    configure_logs(adapter.load_settings().id, stream=sys.stdout)
-    return run_direct(adapter)
+    settings = adapter.load_settings()
+    with LogBuffer(sys.stdout.fileno()) as lines:
+        configure_logs(settings.id, stream=lines)
+        return run_direct(adapter)
--- a/currantmast/runtime/logs.py
+++ b/currantmast/runtime/logs.py
@@ -12,6 +12,7 @@
 
 from currantmast.errors import SecretRejected
 from currantmast.messages import Address
+from currantmast.runtime.logbuffers import LogBuffer
 
 LogValue = str | int | float | bool | StrEnum | Address | BaseException | None
 
@@ -31,7 +32,7 @@
 
 
 def configure_logs(
-    instance: str, stream: TextIO | None = None, level: str = 'INFO'
+    instance: str, stream: TextIO | LogBuffer | None = None, level: str = 'INFO'
 ) -> None:
     """Send log lines to `stream`.
 
@@ -39,7 +40,7 @@
     ----------
     instance : str
         Instance id that every line carries.
-    stream : text stream, optional
+    stream : text stream or LogBuffer, optional
         Destination; the standard error stream by default.
     level : str
         Least level that is written.
@@ -47,7 +48,7 @@
     _context.instance = instance
     logger.remove()
     logger.add(
-        stream or sys.stderr,
+        stream.write if isinstance(stream, LogBuffer) else stream or sys.stderr,
         format='{message}',
         level=level,
         colorize=False,
