--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,7 @@
 	$(BIN)/python tests/run.py
 
 demo: setup
+	$(BIN)/currantmast experiment platform
 	$(BIN)/currantmast experiment demo deployments/yanagawa
 
 lint: setup
--- a/currantmast/direct/placement.py
+++ b/currantmast/direct/placement.py
@@ -296,7 +296,7 @@
             per_slot = IDLE_LOAD_PER_SLOT
         if target.load >= target.limit_load(max(1, round(slots * per_slot))):
             return False
-        if option.chance and target.load < slots:
+        if not need.thing and target.load < slots:
             # Nothing is waited for, and a wrong expectation must not exclude it for good.
             return option.expected_s <= need.time_left_s
         stretch = self.times.get_stretch(need.service)
--- a/currantmast/experiment/demo.py
+++ b/currantmast/experiment/demo.py
@@ -1,6 +1,7 @@
 """Commands that run experiments."""
 
 import sys
+from http import HTTPStatus
 
 import gevent
 
@@ -15,6 +16,7 @@
 )
 from currantmast.experiment.runs import RunSettings, run_experiment
 from currantmast.experiment.slopes import SlopeCommands
+from currantmast.standins.platformfleet import PlatformFleet
 
 DEMO_SECONDS = 15
 HOLD_S = 600
@@ -105,6 +107,34 @@
         )
         _finish(run_experiment(settings), json)
 
+    def platform(
+        self, instances: int = 6, seconds: float = 10, rate: float = 60, seed: int = 1
+    ) -> None:
+        """Run instances on a stand-in of the users' platform, under load.
+
+        Parameters
+        ----------
+        instances : int
+            Number of instances.
+        seconds : float
+            Length of the load.
+        rate : float
+            Requests per second.
+        seed : int
+            Seed of the load.
+        """
+        with PlatformFleet(instances, seed) as fleet:
+            tally = fleet.load(rate, seconds)
+            violations = fleet.list_violations()
+        answered = tally.statuses[HTTPStatus.OK]
+        refused = sum(tally.statuses.values()) - answered
+        sys.stdout.write(
+            f'platform answered={answered} refused={refused} wrong={len(violations)}\n'
+        )
+        sys.stdout.writelines(f'{violation}\n' for violation in violations)
+        if violations:
+            sys.exit(EXIT_VIOLATED)
+
     def hold(self, deployment_dir: str, seconds: float = HOLD_S, seed: int = 1) -> None:
         """Run a local fleet for trying out commands, and print how to reach it.
 
