--- a/currantmast/commands/__init__.py
+++ b/currantmast/commands/__init__.py
@@ -57,6 +57,7 @@
         """
         return Task(lambda: processes.run_platform(boot))
 
+    @take_texts('request')
     def explain_request(self, request: str, *paths: str, json: bool = False) -> Task:
         """Show what happened to a request, from log files of instances.
 
--- a/tests/integration/test_kill.py
+++ b/tests/integration/test_kill.py
@@ -21,6 +21,7 @@
 
 ORDER_RATE = 30
 ORDERS_S = 4
+POLL_S = 0.02
 
 
 def test_killed_instance_costs_only_its_running_requests(fleet):
@@ -38,6 +39,17 @@
         assert count_unanswered(late, (Reason.rate_exceeded,)) == {}
 
 
+def wait_for_foreign_placement(owner, before):
+    """Wait until `owner` has just placed an order that another entry admitted."""
+    own_entry = f'entry={owner.name} '
+    with gevent.Timeout(ORDERS_S):
+        while not any(
+            'event=placement' in line and own_entry not in line
+            for line in owner.read_output()[before:].splitlines()
+        ):
+            gevent.sleep(POLL_S)
+
+
 def test_orders_running_at_a_killed_owner_are_not_called_unrun(fleet):
     """Guards against a false "not run" for orders of which an entry only lost sight."""
     base = fleet.plan.deployment.base
@@ -51,8 +63,10 @@
         ORDER_RATE, ORDERS_S, sites=sites, kinds=(order.kind,), keyed=False
     )
     with Scenario(fleet, 'running', seed=29) as scenario, slow_down(fleet, pool):
+        owner = next(p for p in fleet.list_processes() if p.name == killed.id)
+        before = len(owner.read_output())
         scenario.start(shape)
-        gevent.sleep(ORDERS_S / 2)
+        wait_for_foreign_placement(owner, before)
         with kill_instance(fleet, OWNER):
             scenario.join()
         assert scenario.inspect() == ()
