--- a/currantmast/commands/__init__.py
+++ b/currantmast/commands/__init__.py
@@ -17,7 +17,7 @@
 from currantmast.loading import load_deployment
 from currantmast.operations import add_drain, remove_drain
 
-VERSION = '0.1.0'
+VERSION = '0.2.0'
 
 
 class Commands:
