--- a/currantmast/direct/beliefs.py
+++ b/currantmast/direct/beliefs.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 from currantmast.clocks import Clock
+from currantmast.direct.coldness import ColdBound
 from currantmast.direct.configurations import CurrentConfiguration, PartPicker
 from currantmast.direct.exchanges import Exchanges
 from currantmast.direct.freshness import Freshness
@@ -16,7 +17,7 @@
 from currantmast.direct.placement import Placement
 from currantmast.direct.rates import TeamRates
 from currantmast.direct.retries import RetryBudgets
-from currantmast.direct.targets import ColdBound, TargetTable
+from currantmast.direct.targets import TargetTable
 from currantmast.runtime.logs import log_event
 
 
--- /dev/null
+++ b/currantmast/direct/coldness.py
@@ -0,0 +1,108 @@
+"""Cold targets: who may send to them, and how much."""
+
+from collections.abc import Iterable
+
+import xxhash
+
+from currantmast.clocks import Clock
+from currantmast.decisions.buckets import TokenBucket
+from currantmast.direct.model import Bounds, InstanceRecord, Service, TargetRecord
+
+# A cold target hears from a few instances only, so that their bursts stay in its bound.
+COLD_SENDERS_PER_BOUND = 0.5
+
+
+class Coldness:
+    """Whether a target has just started, and how much it may get meanwhile.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    """
+
+    __slots__ = ('_bucket', '_clock', '_until')
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._bucket = TokenBucket(clock)
+        self._until = clock.now()
+
+    def __repr__(self) -> str:
+        """Return the state."""
+        return f'<Coldness cold={self.is_cold()}>'
+
+    def mark(self, seconds: float) -> None:
+        """Treat the target as cold for `seconds` from now."""
+        self._until = max(self._until, self._clock.now() + seconds)
+
+    def is_cold(self) -> bool:
+        """Return whether the target is cold."""
+        return self._clock.now() < self._until
+
+    def has_token(self, rate: float) -> bool:
+        """Return whether it may get a request now, at `rate` requests a second."""
+        self._bucket.resize(rate, 1)
+        return self._bucket.count() >= 1
+
+    def take_token(self, rate: float) -> None:
+        """Record a request sent, at `rate` requests a second."""
+        self._bucket.resize(rate, 1)
+        self._bucket.take(1)
+
+
+class ColdBound:
+    """Which instances may send to a cold target, and how much each.
+
+    The bound of a cold target counts the requests of all instances inside any second.
+    A few senders for each target, nearest first, with a burst of one each keep it
+    without a message between them.
+
+    Parameters
+    ----------
+    own_id : str
+        Id of this instance.
+    """
+
+    __slots__ = ('_members', '_own_id', '_ranks')
+
+    def __init__(self, own_id: str) -> None:
+        self._own_id = own_id
+        self._members: tuple[InstanceRecord, ...] = ()
+        self._ranks: dict[str, int] = {}
+
+    def __repr__(self) -> str:
+        """Return the number of members."""
+        return f'<ColdBound members={len(self._members)}>'
+
+    def rank_members(self, members: Iterable[InstanceRecord]) -> None:
+        """Take over the members of the fleet."""
+        self._members = tuple(members)
+        self._ranks.clear()
+
+    def get_rate(self, target: TargetRecord, service: Service, bounds: Bounds) -> float:
+        """Return the requests per second that this instance may send; 0 for none."""
+        most = service.cold_rate * bounds.cold_factor + bounds.cold_extra
+        wanted = max(1, int(most * COLD_SENDERS_PER_BOUND))
+        senders = min(wanted, max(1, len(self._members)))
+        if self._rank(target) >= senders:
+            return 0
+        return max(0, most / senders - 1)
+
+    def _rank(self, target: TargetRecord) -> int:
+        rank = self._ranks.get(target.id)
+        if rank is None:
+            rank = self._compute_rank(target)
+            self._ranks[target.id] = rank
+        return rank
+
+    def _compute_rank(self, target: TargetRecord) -> int:
+        ordered = sorted(
+            self._members,
+            key=lambda member: (
+                member.place.region != target.place.region,
+                xxhash.xxh3_64_intdigest(f'{target.id}|{member.id}'.encode()),
+            ),
+        )
+        ids = [member.id for member in ordered]
+        return ids.index(self._own_id) if self._own_id in ids else 0
--- a/currantmast/direct/exchanges.py
+++ b/currantmast/direct/exchanges.py
@@ -18,7 +18,7 @@
 from gevent.socket import socket as Socket
 
 from currantmast.clocks import Clock
-from currantmast.direct.front import CONNECTION_HEADERS
+from currantmast.direct.inbound import CONNECTION_HEADERS
 from currantmast.errors import (
     AnswerIncomplete,
     ExchangeBroken,
--- a/currantmast/direct/following.py
+++ b/currantmast/direct/following.py
@@ -51,7 +51,7 @@
 PACES = MappingProxyType(
     {
         Topic.configuration: Pace(wait_s=1.5, gather_s=0.1),
-        Topic.targets: Pace(wait_s=3.0, gather_s=0.3),
+        Topic.targets: Pace(wait_s=3.0, gather_s=0.6),
         Topic.evacuations: Pace(wait_s=4.0, gather_s=0.3),
         Topic.instances: Pace(wait_s=5.0, gather_s=0.5),
     }
--- a/currantmast/direct/process.py
+++ b/currantmast/direct/process.py
@@ -20,8 +20,9 @@
 )
 from currantmast.direct.exchanges import Exchanges
 from currantmast.direct.following import Follower, Source, StoreHealth, Topic
-from currantmast.direct.front import FrontServer, Inbound, Outbound
+from currantmast.direct.front import FrontServer
 from currantmast.direct.heartbeats import HeartbeatLink
+from currantmast.direct.inbound import Inbound, Outbound
 from currantmast.direct.meters import Meter
 from currantmast.direct.model import CallerLimits, DirectSettings, InstanceRecord
 from currantmast.direct.probes import Prober
--- a/currantmast/direct/queries.py
+++ b/currantmast/direct/queries.py
@@ -1,7 +1,7 @@
 """Answers to what is asked beside requests: readiness, look-ups and metrics."""
 
 from currantmast.direct.beliefs import Beliefs
-from currantmast.direct.front import Inbound, Outbound
+from currantmast.direct.inbound import Inbound, Outbound
 from currantmast.direct.members import choose_named
 from currantmast.direct.meters import Meter
 from currantmast.direct.requests import Wire
--- a/currantmast/direct/requests.py
+++ b/currantmast/direct/requests.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from currantmast.direct.exchanges import Answer, Attempt
-from currantmast.direct.front import Inbound, Outbound
+from currantmast.direct.inbound import Inbound, Outbound
 from currantmast.direct.targets import Load
 
 
--- a/currantmast/direct/steering.py
+++ b/currantmast/direct/steering.py
@@ -3,17 +3,25 @@
 from http import HTTPStatus
 from types import MappingProxyType
 
-import msgspec
-
 from currantmast.clocks import Clock
 from currantmast.direct.beliefs import Beliefs
 from currantmast.direct.exchanges import Answer, Exchanges
-from currantmast.direct.front import Inbound, Outbound
-from currantmast.direct.model import Configuration, Route, Team
-from currantmast.direct.placement import Chosen, Need, NoRoom
+from currantmast.direct.inbound import Inbound, Outbound
+from currantmast.direct.model import Route, Team
+from currantmast.direct.placement import Chosen, NoRoom
 from currantmast.direct.rates import OverRate
 from currantmast.direct.requests import Call, Given, Shed, TargetAnswer, Wire
 from currantmast.direct.targets import Target
+from currantmast.direct.tries import (
+    LEAST_RETRY_AFTER_S,
+    MOST_RETRY_AFTER_S,
+    SERVER_ERROR,
+    Admission,
+    Ending,
+    Settled,
+    Tries,
+    TryLater,
+)
 from currantmast.errors import (
     AnswerIncomplete,
     ExchangeBroken,
@@ -29,50 +37,13 @@
 # Seconds before a caller's limit at which its answer leaves.
 ANSWER_MARGIN_S = 0.02
 
-# Seconds after which a refused caller may try again, at least and at most.
-LEAST_RETRY_AFTER_S = 0.1
-MOST_RETRY_AFTER_S = 1.0
+# Seconds after which a caller may try again while nothing is known yet.
 BOOT_RETRY_AFTER_S = 0.5
 
-# Tries of one request, for targets that could not be reached at all.
-MAX_TRIES = 4
-
-SERVER_ERROR = 500
-
 # Statuses that promise that the request has not run and never will.
 PROMISES = frozenset((408, 421, 429, 503))
 
 
-class Admission(msgspec.Struct, frozen=True):
-    """A request that may be sent to a target."""
-
-    call: Call
-    route: Route
-    team: Team | None
-    service: str
-    homes: frozenset[str]
-    started_at: float
-    ends_at: float
-    target_at: float
-
-
-class Settled(msgspec.Struct, frozen=True):
-    """A target answered, and the caller gets that."""
-
-    answer: Answer
-    seen: TargetAnswer
-
-
-class TryLater(msgspec.Struct, frozen=True):
-    """No target has room; `after_s` seconds until one is expected to."""
-
-    refusal: NotRun
-    after_s: float
-
-
-Ending = Settled | TryLater | NotRun | OutcomeUnknown
-
-
 class Steering:
     """Answers the requests of callers.
 
@@ -105,7 +76,7 @@
         admitted = self._admit(call, inbound.received_at)
         if isinstance(admitted, Outbound):
             return admitted
-        tries = _Tries(self._beliefs, admitted, self._clock)
+        tries = Tries(self._beliefs, admitted, self._clock)
         ending = self._run(inbound, admitted, tries)
         self._log_end(admitted, tries, ending)
         return self._encode(ending)
@@ -160,7 +131,7 @@
             target_at=received_at + route.latency_objective_s,
         )
 
-    def _run(self, inbound: Inbound, admitted: Admission, tries: '_Tries') -> Ending:
+    def _run(self, inbound: Inbound, admitted: Admission, tries: Tries) -> Ending:
         self._beliefs.retries.note_request(admitted.service, self._beliefs.bounds)
         ending: Ending = NotRun(Reason.deadline)
         while tries.may_go_on():
@@ -283,7 +254,7 @@
             case OutcomeUnknown():
                 return Outbound(HTTPStatus.BAD_GATEWAY)
 
-    def _log_end(self, admitted: Admission, tries: '_Tries', ending: Ending) -> None:
+    def _log_end(self, admitted: Admission, tries: Tries, ending: Ending) -> None:
         outcome, reason = _describe(ending)
         elapsed_s = self._clock.now() - admitted.started_at
         self._meter.count(outcome, reason)
@@ -312,127 +283,6 @@
         )
 
 
-class _Tries:
-    """The tries of one request: how often and where it may go, and what is known."""
-
-    def __init__(self, beliefs: Beliefs, admitted: Admission, clock: Clock) -> None:
-        self._beliefs = beliefs
-        self._admitted = admitted
-        self._clock = clock
-        self._sent = 0
-        self._may_have_run = False
-        self._failed: Settled | None = None
-        self.last: Chosen | None = None
-        self.candidates = 0
-        self.ids: list[str] = []
-
-    @property
-    def count(self) -> int:
-        """Number of tries begun."""
-        return len(self.ids)
-
-    def may_go_on(self) -> bool:
-        """Return whether there is time and a try left."""
-        admitted = self._admitted
-        in_time = self._clock.now() < admitted.ends_at
-        return (
-            in_time and self.count < MAX_TRIES and self._sent < admitted.route.attempts
-        )
-
-    def choose(self) -> Chosen | NoRoom:
-        """Return the target for the next try."""
-        admitted = self._admitted
-        config: Configuration | None = self._beliefs.configuration.value
-        service = config.services.get(admitted.service) if config else None
-        now = self._clock.now()
-        need = Need(
-            service=admitted.service,
-            thing=admitted.call.thing if admitted.route.by_object else '',
-            time_left_s=admitted.ends_at - now,
-            target_left_s=admitted.target_at - now,
-        )
-        usable = [
-            target
-            for target in self._beliefs.targets.list_usable(admitted.service)
-            if self._allows(target, service)
-        ]
-        return self._beliefs.placement.choose(need, usable)
-
-    def begin(self, chosen: Chosen) -> None:
-        """Record a try."""
-        self.last = chosen
-        self.candidates = chosen.candidates
-        self.ids.append(chosen.target.record.id)
-        self._sent += 1
-        if chosen.target.coldness.is_cold():
-            chosen.target.coldness.take_token(self._get_cold_rate(chosen.target))
-
-    def prefer(self, ending: Ending) -> Ending:
-        """Return the better one of `ending` and a failure that a target answered."""
-        if not isinstance(ending, Settled):
-            return self._failed or ending
-        if ending.seen.status >= SERVER_ERROR:
-            self._failed = ending
-        return ending
-
-    def may_repeat(self, ending: Ending) -> bool:
-        """Return whether another target may get the request after `ending`."""
-        match ending:
-            case Settled(_, seen):
-                failed = seen.status >= SERVER_ERROR
-                self._may_have_run = True
-                return failed and self._can_repeat() and self._take_repeat()
-            case NotRun(Reason.unreachable):
-                # Nothing arrived, so it is no repeat for the service.
-                self._sent -= 1
-                return True
-            case NotRun():
-                return self._take_repeat()
-            case OutcomeUnknown():
-                self._may_have_run = True
-                return self._can_repeat() and self._take_repeat()
-        return False
-
-    def explain(self, no_room: NoRoom, ending: Ending) -> Ending:
-        """Return the ending when no target can take the request now."""
-        if self._may_have_run:
-            return ending
-        after_s = min(MOST_RETRY_AFTER_S, max(LEAST_RETRY_AFTER_S, no_room.room_in_s))
-        detail = f'{no_room.candidates} targets weighed'
-        return TryLater(NotRun(Reason.no_capacity, detail), after_s)
-
-    def conclude(self, ending: Ending) -> Ending:
-        """Return the ending when no try is left; no promise after a possible run."""
-        if self._may_have_run and isinstance(ending, NotRun):
-            return OutcomeUnknown(ending.reason)
-        return ending
-
-    def _can_repeat(self) -> bool:
-        return self._admitted.route.kind.repeatable
-
-    def _take_repeat(self) -> bool:
-        if self._sent >= self._admitted.route.attempts:
-            return False
-        return self._beliefs.retries.take(self._admitted.service, self._beliefs.bounds)
-
-    def _allows(self, target: Target, service) -> bool:
-        homes = self._admitted.homes
-        if homes and target.record.place.region not in homes:
-            return False
-        if target.record.id in self.ids:
-            return False
-        if service is None or not service.cold_rate or not target.coldness.is_cold():
-            return True
-        return target.coldness.has_token(self._get_cold_rate(target))
-
-    def _get_cold_rate(self, target: Target) -> float:
-        config = self._beliefs.configuration.value
-        service = config.services[self._admitted.service]
-        return self._beliefs.cold_bound.get_rate(
-            target.record, service, self._beliefs.bounds
-        )
-
-
 def _is_deliverable(seen: TargetAnswer) -> bool:
     """Return whether the caller may get a target's answer as it is.
 
--- /dev/null
+++ b/currantmast/direct/tries.py
@@ -0,0 +1,172 @@
+"""The tries of one request: how often and where it may go, and what is known of it."""
+
+import msgspec
+
+from currantmast.clocks import Clock
+from currantmast.direct.beliefs import Beliefs
+from currantmast.direct.exchanges import Answer
+from currantmast.direct.model import Configuration, Route, Service, Team
+from currantmast.direct.placement import Chosen, Need, NoRoom
+from currantmast.direct.requests import Call, TargetAnswer
+from currantmast.direct.targets import Target
+from currantmast.outcomes import NotRun, OutcomeUnknown, Reason
+
+# Seconds after which a refused caller may try again, at least and at most.
+LEAST_RETRY_AFTER_S = 0.1
+MOST_RETRY_AFTER_S = 1.0
+
+# Tries of one request, for targets that could not be reached at all.
+MAX_TRIES = 4
+
+SERVER_ERROR = 500
+
+
+class Admission(msgspec.Struct, frozen=True):
+    """A request that may be sent to a target."""
+
+    call: Call
+    route: Route
+    team: Team | None
+    service: str
+    homes: frozenset[str]
+    started_at: float
+    ends_at: float
+    target_at: float
+
+
+class Settled(msgspec.Struct, frozen=True):
+    """A target answered, and the caller gets that."""
+
+    answer: Answer
+    seen: TargetAnswer
+
+
+class TryLater(msgspec.Struct, frozen=True):
+    """No target has room; `after_s` seconds until one is expected to."""
+
+    refusal: NotRun
+    after_s: float
+
+
+Ending = Settled | TryLater | NotRun | OutcomeUnknown
+
+
+class Tries:
+    """The tries of one request: how often and where it may go, and what is known."""
+
+    def __init__(self, beliefs: Beliefs, admitted: Admission, clock: Clock) -> None:
+        self._beliefs = beliefs
+        self._admitted = admitted
+        self._clock = clock
+        self._sent = 0
+        self._may_have_run = False
+        self._failed: Settled | None = None
+        self.last: Chosen | None = None
+        self.candidates = 0
+        self.ids: list[str] = []
+
+    @property
+    def count(self) -> int:
+        """Number of tries begun."""
+        return len(self.ids)
+
+    def may_go_on(self) -> bool:
+        """Return whether there is time and a try left."""
+        admitted = self._admitted
+        in_time = self._clock.now() < admitted.ends_at
+        return (
+            in_time and self.count < MAX_TRIES and self._sent < admitted.route.attempts
+        )
+
+    def choose(self) -> Chosen | NoRoom:
+        """Return the target for the next try."""
+        admitted = self._admitted
+        config: Configuration | None = self._beliefs.configuration.value
+        service = config.services.get(admitted.service) if config else None
+        now = self._clock.now()
+        need = Need(
+            service=admitted.service,
+            thing=admitted.call.thing if admitted.route.by_object else '',
+            time_left_s=admitted.ends_at - now,
+            target_left_s=admitted.target_at - now,
+        )
+        usable = [
+            target
+            for target in self._beliefs.targets.list_usable(admitted.service)
+            if self._allows(target, service)
+        ]
+        return self._beliefs.placement.choose(need, usable)
+
+    def begin(self, chosen: Chosen) -> None:
+        """Record a try."""
+        self.last = chosen
+        self.candidates = chosen.candidates
+        self.ids.append(chosen.target.record.id)
+        self._sent += 1
+        if chosen.target.coldness.is_cold():
+            chosen.target.coldness.take_token(self._get_cold_rate(chosen.target))
+
+    def prefer(self, ending: Ending) -> Ending:
+        """Return the better one of `ending` and a failure that a target answered."""
+        if not isinstance(ending, Settled):
+            return self._failed or ending
+        if ending.seen.status >= SERVER_ERROR:
+            self._failed = ending
+        return ending
+
+    def may_repeat(self, ending: Ending) -> bool:
+        """Return whether another target may get the request after `ending`."""
+        match ending:
+            case Settled(_, seen):
+                failed = seen.status >= SERVER_ERROR
+                self._may_have_run = True
+                return failed and self._can_repeat() and self._take_repeat()
+            case NotRun(Reason.unreachable):
+                # Nothing arrived, so it is no repeat for the service.
+                self._sent -= 1
+                return True
+            case NotRun():
+                return self._take_repeat()
+            case OutcomeUnknown():
+                self._may_have_run = True
+                return self._can_repeat() and self._take_repeat()
+        return False
+
+    def explain(self, no_room: NoRoom, ending: Ending) -> Ending:
+        """Return the ending when no target can take the request now."""
+        if self._may_have_run:
+            return ending
+        after_s = min(MOST_RETRY_AFTER_S, max(LEAST_RETRY_AFTER_S, no_room.room_in_s))
+        detail = f'{no_room.candidates} targets weighed'
+        return TryLater(NotRun(Reason.no_capacity, detail), after_s)
+
+    def conclude(self, ending: Ending) -> Ending:
+        """Return the ending when no try is left; no promise after a possible run."""
+        if self._may_have_run and isinstance(ending, NotRun):
+            return OutcomeUnknown(ending.reason)
+        return ending
+
+    def _can_repeat(self) -> bool:
+        return self._admitted.route.kind.repeatable
+
+    def _take_repeat(self) -> bool:
+        if self._sent >= self._admitted.route.attempts:
+            return False
+        return self._beliefs.retries.take(self._admitted.service, self._beliefs.bounds)
+
+    def _allows(self, target: Target, service: Service | None) -> bool:
+        homes = self._admitted.homes
+        if homes and target.record.place.region not in homes:
+            return False
+        if target.record.id in self.ids:
+            return False
+        if service is None or not service.cold_rate or not target.coldness.is_cold():
+            return True
+        return target.coldness.has_token(self._get_cold_rate(target))
+
+    def _get_cold_rate(self, target: Target) -> float:
+        config = self._beliefs.configuration.value
+        service = config.services[self._admitted.service]
+        return self._beliefs.cold_bound.get_rate(
+            target.record, service, self._beliefs.bounds
+        )
--- a/currantmast/platform/wire.py
+++ b/currantmast/platform/wire.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from currantmast.direct.exchanges import Answer, Attempt
-from currantmast.direct.front import CONNECTION_HEADERS, Inbound, Outbound
+from currantmast.direct.inbound import CONNECTION_HEADERS, Inbound, Outbound
 from currantmast.direct.requests import Call, Given, LookupQuery, Shed, TargetAnswer
 from currantmast.direct.targets import Load
 
--- a/currantmast/standins/platformtargets.py
+++ b/currantmast/standins/platformtargets.py
@@ -9,7 +9,8 @@
 import msgspec
 
 from currantmast.clocks import BootClock
-from currantmast.direct.front import FrontServer, Inbound, Outbound
+from currantmast.direct.front import FrontServer
+from currantmast.direct.inbound import Inbound, Outbound
 from currantmast.direct.model import CallerLimits
 from currantmast.messages import Address
 
--- a/tests/test_direct_front.py
+++ b/tests/test_direct_front.py
@@ -7,7 +7,8 @@
 from gevent import socket
 
 from currantmast.clocks import BootClock
-from currantmast.direct.front import FrontServer, Outbound
+from currantmast.direct.front import FrontServer
+from currantmast.direct.inbound import Outbound
 from currantmast.direct.model import CallerLimits
 from currantmast.messages import Address
 
--- a/tests/test_direct_steering.py
+++ b/tests/test_direct_steering.py
@@ -5,7 +5,7 @@
 from currantmast.clocks import ManualClock
 from currantmast.direct.beliefs import Beliefs
 from currantmast.direct.exchanges import Answer
-from currantmast.direct.front import Inbound
+from currantmast.direct.inbound import Inbound
 from currantmast.direct.meters import Meter
 from currantmast.direct.model import (
     Bounds,
--- a/tests/test_direct_targets.py
+++ b/tests/test_direct_targets.py
@@ -1,6 +1,7 @@
 """Targets: ejection, probes, cold bounds and changes of the list."""
 
 from currantmast.clocks import ManualClock
+from currantmast.direct.coldness import ColdBound
 from currantmast.direct.model import (
     Bounds,
     InstanceRecord,
@@ -8,7 +9,7 @@
     Service,
     TargetRecord,
 )
-from currantmast.direct.targets import ColdBound, Target, TargetTable
+from currantmast.direct.targets import Target, TargetTable
 from currantmast.messages import Address
 
 HERE = Place('fife', 'fife-a')
