Promise nothing when no room is left after a possible run

Cause, found by reading the change: a request whose first try may have run and whose second found its target unreachable was answered 503 when no target was left. Only repeatable requests could meet it. Also a cold target of a service that the configuration does not list ended the request with an error. Test that failed before: test_no_room_after_a_possible_run_is_no_promise (503).

--- a/currantmast/direct/tries.py
+++ b/currantmast/direct/tries.py
@@ -81,8 +81,7 @@
     def choose(self) -> Chosen | NoRoom:
         """Return the target for the next try."""
         admitted = self._admitted
-        config: Configuration | None = self._beliefs.configuration.value
-        service = config.services.get(admitted.service) if config else None
+        service = self._find_service()
         now = self._clock.now()
         need = Need(
             service=admitted.service,
@@ -103,8 +102,10 @@
         self.candidates = chosen.candidates
         self.ids.append(chosen.target.record.id)
         self._sent += 1
-        if chosen.target.coldness.is_cold():
-            chosen.target.coldness.take_token(self._get_cold_rate(chosen.target))
+        service = self._find_service()
+        if service is not None and chosen.target.coldness.is_cold():
+            rate = self._get_cold_rate(chosen.target, service)
+            chosen.target.coldness.take_token(rate)
 
     def prefer(self, ending: Ending) -> Ending:
         """Return the better one of `ending` and a failure that a target answered."""
@@ -135,7 +136,7 @@
     def explain(self, no_room: NoRoom, ending: Ending) -> Ending:
         """Return the ending when no target can take the request now."""
         if self._may_have_run:
-            return ending
+            return self.conclude(ending)
         after_s = min(MOST_RETRY_AFTER_S, max(LEAST_RETRY_AFTER_S, no_room.room_in_s))
         detail = f'{no_room.candidates} targets weighed'
         return TryLater(NotRun(Reason.no_capacity, detail), after_s)
@@ -162,11 +163,13 @@
             return False
         if service is None or not service.cold_rate or not target.coldness.is_cold():
             return True
-        return target.coldness.has_token(self._get_cold_rate(target))
+        return target.coldness.has_token(self._get_cold_rate(target, service))
+
+    def _find_service(self) -> Service | None:
+        config: Configuration | None = self._beliefs.configuration.value
+        return config.services.get(self._admitted.service) if config else None
 
-    def _get_cold_rate(self, target: Target) -> float:
-        config = self._beliefs.configuration.value
-        service = config.services[self._admitted.service]
+    def _get_cold_rate(self, target: Target, service: Service) -> float:
         return self._beliefs.cold_bound.get_rate(
             target.record, service, self._beliefs.bounds
         )
--- a/tests/test_direct_steering.py
+++ b/tests/test_direct_steering.py
@@ -169,6 +169,12 @@
     assert world.ask().status == 502
 
 
+def test_no_room_after_a_possible_run_is_no_promise():
+    """Guards against "not run" when the second target was only unreachable."""
+    world = World(ExchangeBroken(''), NothingSent(''))
+    assert world.ask().status == 502
+
+
 def test_refusal_is_true_and_tells_when_to_come_back():
     world = World(SHED, SHED, route=UNSAFE)
     answer = world.ask()
