Mark each frame of the control link, so that lost bytes are noticed

A link that loses bytes in the middle of a frame leaves the reader out of step; with a length alone it took any four bytes for a length and waited for up to 16 MB. Whether that is what failed there is not known yet.

--- a/currantmast/runtime/control.py
+++ b/currantmast/runtime/control.py
@@ -23,6 +23,8 @@
 LISTEN_BACKLOG = 256
 MAX_INBOUND = 4096
 LENGTH_BYTES = 4
+# Begins each frame, so that bytes lost in the middle of a stream are noticed.
+FRAME_MARK = b'\xc1\xcf'
 # Bounds what a damaged length field can make this process allocate.
 MAX_FRAME_BYTES = 16 * 1024 * 1024
 CONNECT_TIMEOUT_S = 1.0
@@ -189,7 +191,12 @@
             connection.settimeout(SEND_TIMEOUT_S)
             while True:
                 payload = self._queue.get()
-                connection.sendall(len(payload).to_bytes(LENGTH_BYTES) + payload)
+                connection.sendall(encode_frame(payload))
+
+
+def encode_frame(payload: bytes) -> bytes:
+    """Return the bytes of a frame: mark, length and payload."""
+    return b''.join((FRAME_MARK, len(payload).to_bytes(LENGTH_BYTES), payload))
 
 
 def _read_frame(stream: socket.SocketIO) -> bytes | None:
@@ -198,13 +205,14 @@
     Raises
     ------
     FrameRejected
-        If the frame is too long or cut short.
+        If the frame has no mark, is too long or is cut short.
     """
-    head = stream.read(LENGTH_BYTES)
+    head = stream.read(len(FRAME_MARK) + LENGTH_BYTES)
     if not head:
         return None
-    size = int.from_bytes(head)
-    if len(head) < LENGTH_BYTES or size > MAX_FRAME_BYTES:
+    size = int.from_bytes(head[len(FRAME_MARK) :])
+    whole = len(head) == len(FRAME_MARK) + LENGTH_BYTES
+    if not whole or not head.startswith(FRAME_MARK) or size > MAX_FRAME_BYTES:
         raise FrameRejected(f'frame head {head.hex()}')
     payload = stream.read(size)
     if len(payload) < size:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -8,10 +8,12 @@
 
 from currantmast.messages import Address, HeartbeatAck
 from currantmast.runtime.control import (
+    FRAME_MARK,
     LENGTH_BYTES,
     MAX_FRAME_BYTES,
     SEND_BUFFER_MESSAGES,
     ControlLink,
+    encode_frame,
 )
 
 ANY = Address('127.0.0.1', 0)
@@ -85,11 +87,25 @@
     with open_link() as sender, open_link() as receiver:
         target = (receiver.address.host, receiver.address.port)
         with socket.create_connection(target) as odd:
-            odd.sendall((MAX_FRAME_BYTES + 1).to_bytes(LENGTH_BYTES))
+            odd.sendall(FRAME_MARK + (MAX_FRAME_BYTES + 1).to_bytes(LENGTH_BYTES))
             assert odd.recv(1) == b''
         with socket.create_connection(target) as odd:
-            odd.sendall((3).to_bytes(LENGTH_BYTES) + b'abc')
+            odd.sendall(encode_frame(b'abc'))
             sender.dial_peers({'b': receiver.address})
             sender.send('b', make_ack(7))
             assert receiver.inbox.get(timeout=2).epoch == 7
     assert receiver.rejected == 1
+
+
+def test_bytes_lost_inside_a_frame_end_the_connection():
+    """Guards against a reader that waits for a frame that was never sent.
+
+    A one-way partition drops bytes in the middle of the stream; what follows is no
+    frame head, and its first bytes must not be taken for a length.
+    """
+    with open_link() as receiver:
+        target = (receiver.address.host, receiver.address.port)
+        with socket.create_connection(target, 2) as damaged:
+            damaged.sendall(encode_frame(b'x' * 20)[:-4])
+            damaged.sendall(b'\x00\x01\x02\x03' * 8)
+            assert damaged.recv(1) == b''
