Promise nothing after a first try that may have run, at the entry of an instance too

The entry repeated an idempotent request whose first try ended unknown, and answered with the refusal of the repeat. Change: one function concludes the last try for both kinds of instance.

--- a/currantmast/decisions/retries.py
+++ b/currantmast/decisions/retries.py
@@ -162,6 +162,16 @@
             return _choose(msgspec.structs.replace(attempt, sent=True), budget, reason)
 
 
+def conclude(outcome: Outcome, may_have_run: bool) -> Outcome:
+    """Return what to tell the caller of the last try.
+
+    A refusal of a repeat says nothing about an earlier try that may have run.
+    """
+    if may_have_run and isinstance(outcome, NotRun):
+        return OutcomeUnknown(outcome.reason, outcome.detail)
+    return outcome
+
+
 def _choose(attempt: Attempt, budget: RetryBudget, reason: Reason) -> Retry | Stop:
     obstacle = _find_obstacle(attempt)
     if obstacle:
--- a/currantmast/direct/tries.py
+++ b/currantmast/direct/tries.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from currantmast.clocks import Clock
+from currantmast.decisions.retries import conclude
 from currantmast.direct.beliefs import Beliefs
 from currantmast.direct.exchanges import Answer
 from currantmast.direct.model import Configuration, Route, Service, Team
@@ -143,8 +144,8 @@
 
     def conclude(self, ending: Ending) -> Ending:
         """Return the ending when no try is left; no promise after a possible run."""
-        if self._may_have_run and isinstance(ending, NotRun):
-            return OutcomeUnknown(ending.reason)
+        if isinstance(ending, NotRun):
+            return conclude(ending, self._may_have_run)
         return ending
 
     def _can_repeat(self) -> bool:
--- a/currantmast/runtime/entry.py
+++ b/currantmast/runtime/entry.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from currantmast.decisions.admission import AdmissionRequest, Admitted
-from currantmast.decisions.retries import Attempt, Retry, Stop, choose_retry
+from currantmast.decisions.retries import Attempt, Retry, Stop, choose_retry, conclude
 from currantmast.decisions.routing import Route, RouteRequest, count_headroom
 from currantmast.decisions.suspects import State
 from currantmast.messages import Suspect
@@ -139,6 +139,11 @@
         )
 
     def _steer(self, trip: Trip) -> WorkAnswer:
+        answer = self._try_owners(trip)
+        outcome = conclude(answer.outcome, trip.may_have_run)
+        return msgspec.structs.replace(answer, outcome=outcome)
+
+    def _try_owners(self, trip: Trip) -> WorkAnswer:
         self._steering.retries.record_request()
         while True:
             route = self._choose_route(trip)
@@ -147,6 +152,8 @@
             answer = self._attempt(trip, route)
             if isinstance(answer.outcome, Done):
                 return answer
+            if isinstance(answer.outcome, OutcomeUnknown):
+                trip.may_have_run = True
             trip.tried = (*trip.tried, route.owner_id)
             self._note_crash(trip, answer.outcome)
             match choose_retry(
--- a/currantmast/runtime/hops.py
+++ b/currantmast/runtime/hops.py
@@ -33,12 +33,13 @@
 
 
 class Trip(msgspec.Struct):
-    """An admitted request with where it comes from and which owners were tried."""
+    """An admitted request, where it comes from, and what became of its tries."""
 
     work: Work
     origin: Origin
     tried: tuple[str, ...] = ()
     body_begun: bool = False
+    may_have_run: bool = False
 
 
 class PeerSender:
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -10,6 +10,7 @@
     RetryBudget,
     Stop,
     choose_retry,
+    conclude,
 )
 from currantmast.outcomes import Done, NotRun, OutcomeUnknown, Reason
 
@@ -72,3 +73,11 @@
     clock.advance(1 / MIN_RATE)
     assert budget.may_retry(Reason.no_capacity, idempotent=False, sent=False)
     assert not budget.may_retry(Reason.no_capacity, idempotent=False, sent=False)
+
+
+def test_refusal_of_a_repeat_is_no_promise_after_a_possible_run():
+    """Guards against "not run" for a look-up whose first try ran behind a cut link."""
+    refusal = NotRun(Reason.link_full)
+    assert conclude(refusal, may_have_run=True) == OutcomeUnknown(Reason.link_full)
+    assert conclude(refusal, may_have_run=False) == refusal
+    assert conclude(Done(200), may_have_run=True) == Done(200)
