Let the overflow to other regions grow slowly

Cause: at a cold start (and at the rise of a wave) the queues of all targets of a region fill within a second, and every request whose expected latency was a little better elsewhere left at once.

Overflow bounds by how much the recent share of a service's requests that leave by choice may exceed its settled share. A request leaves without regard to it when no target near keeps its object and fits.

--- a/currantmast/direct/beliefs.py
+++ b/currantmast/direct/beliefs.py
@@ -41,7 +41,7 @@
         self.freshness = Freshness(clock)
         self.targets = TargetTable(clock)
         self.cold_bound = ColdBound(own.id)
-        self.placement = Placement(own.place)
+        self.placement = Placement(own.place, clock)
         self.rates = TeamRates(clock)
         self.retries = RetryBudgets(clock)
         self.members = Members(own, clock)
--- a/currantmast/direct/placement.py
+++ b/currantmast/direct/placement.py
@@ -12,7 +12,9 @@
 import msgspec
 import xxhash
 
+from currantmast.clocks import Clock
 from currantmast.direct.model import Place
+from currantmast.direct.overflow import Overflow
 from currantmast.direct.targets import WARM_OBJECTS, Target
 
 # Requests that a target may hold for each of its slots, running ones included.
@@ -234,12 +236,15 @@
     ----------
     place : Place
         Where this instance runs.
+    clock : Clock
+        Source of time.
     """
 
-    __slots__ = ('_place', 'delays', 'things', 'times')
+    __slots__ = ('_overflow', '_place', 'delays', 'things', 'times')
 
-    def __init__(self, place: Place) -> None:
+    def __init__(self, place: Place, clock: Clock) -> None:
         self._place = place
+        self._overflow = Overflow(clock)
         self.delays = Delays(place.region)
         self.things = ThingCounts()
         self.times = WorkTimes()
@@ -261,7 +266,7 @@
         ]
         fitting = [option for option in options if self._fits(need, option)]
         if fitting:
-            return min(fitting, key=self._weigh)
+            return self._pick(need, fitting)
         waits = [option.wait_s for option in options]
         return NoRoom(len(candidates), min((need.time_left_s, *waits)))
 
@@ -269,6 +274,20 @@
         """Record how long a request took in all, against what was expected."""
         self.times.note_stretch(service, elapsed_s / chosen.expected_s)
 
+    def _pick(self, need: Need, fitting: list[Chosen]) -> Chosen:
+        best = min(fitting, key=self._weigh)
+        near = [option for option in fitting if self._keeps(need, option)]
+        if near and not self._is_near(best) and not self._overflow.allows(need.service):
+            best = min(near, key=self._weigh)
+        self._overflow.note(need.service, away=not self._is_near(best))
+        return best
+
+    def _is_near(self, option: Chosen) -> bool:
+        return option.target.record.place.region == self._place.region
+
+    def _keeps(self, need: Need, option: Chosen) -> bool:
+        return self._is_near(option) and (option.chance > 0 or not need.thing)
+
     def _estimate(
         self, need: Need, target: Target, homes: 'Homes', candidates: int
     ) -> Chosen:
--- a/tests/test_direct_placement.py
+++ b/tests/test_direct_placement.py
@@ -138,12 +138,12 @@
 def replay(make_policy, rate, seconds=40):
     clock = ManualClock(0)
     targets = make_targets(clock)
-    policies = {region: make_policy(region) for region in REGIONS}
+    policies = {region: make_policy(region, clock) for region in REGIONS}
     return Replay(policies, targets, clock).run(rate, seconds)
 
 
-def make_own(region):
-    return Placement(Place(region, f'{region}-a'))
+def make_own(region, clock):
+    return Placement(Place(region, f'{region}-a'), clock)
 
 
 def test_load_beyond_what_cold_targets_carry_is_served_in_aim():
@@ -151,7 +151,7 @@
 
     75 slots carry 83 requests a second of 0.9 s each, and 278 of 0.27 s.
     """
-    plain = replay(lambda region: Plain(), rate=250)
+    plain = replay(lambda region, clock: Plain(), rate=250)
     own = replay(make_own, rate=250)
     offered = sum(own.values())
     assert own['in aim'] >= 0.85 * offered
@@ -201,7 +201,7 @@
 def test_slow_and_failing_targets_are_passed_over():
     clock = ManualClock(0)
     targets = make_targets(clock, per_region=2)
-    policy = make_own('fife')
+    policy = make_own('fife', clock)
     need = Need('desk', '', LIMIT_S, AIM_S)
     for target in targets:
         if target.record.id != 'fife-1':
@@ -215,8 +215,9 @@
 
 
 def test_request_that_cannot_end_in_time_finds_no_room():
-    targets = make_targets(ManualClock(0))
-    policy = make_own('fife')
+    clock = ManualClock(0)
+    targets = make_targets(clock)
+    policy = make_own('fife', clock)
     found = policy.choose(Need('desk', '', 0.2, 0.1), targets)
     assert isinstance(found, NoRoom)
 
@@ -229,7 +230,7 @@
     """
     clock = ManualClock(0)
     targets = make_targets(clock, per_region=4, slots=4)
-    policies = {region: make_own(region) for region in REGIONS}
+    policies = {region: make_own(region, clock) for region in REGIONS}
     world = Replay(policies, targets, clock)
     away = {region: [] for region in REGIONS}
     original = world.offer
