--- a/currantmast/direct/targets.py
+++ b/currantmast/direct/targets.py
@@ -9,7 +9,7 @@
 from currantmast.direct.model import TargetRecord, TargetState
 
 # Objects that a target is taken to keep warm.
-WARM_OBJECTS = 16
+WARM_OBJECTS = 12
 
 # Failures in a row without a success that eject a target.
 EJECT_AFTER = 3
