Give each object one target near its callers and one elsewhere for overflow

Cause: every region kept a first and a second target for each object, whoever asked. On the sites each object is asked for from one region only (81 objects of catalog look-ups, 27 a region), so the overflow of a region with few targets (2 of 18) filled the targets of all others with copies, theirs filled its own, and each target forgot what it was to keep.

Now an object has one target in the region of its callers and one in another region that has room for it; a second near one only where half of the room stays free. A region that can't keep all of its objects gets none from other regions.

--- a/currantmast/direct/placement.py
+++ b/currantmast/direct/placement.py
@@ -8,6 +8,7 @@
 from collections import OrderedDict
 from collections.abc import Iterable
 from functools import lru_cache, partial
+from itertools import chain
 
 import msgspec
 import xxhash
@@ -49,7 +50,7 @@
 # it is known to forget what others sent.
 KNOWN_PART = 0.4
 
-# Chance that the second target for an object knows it, from earlier overflow.
+# Chance that a second target for an object knows it, from earlier overflow.
 SECOND_WARM_PART = 0.5
 
 # Most times that a request may count as longer than expected.
@@ -60,6 +61,15 @@
 FIRST_THINGS = 24
 MAX_THINGS = 10_000
 
+# Part of what targets can keep that their region's own objects may fill, so that a few
+# strange ones push none of them out.
+KEPT_PART = 0.85
+
+# Copies of all its objects that a region must be able to keep before it gets those of
+# another region, and before each object gets a second target in it.
+COPIES_FOR_OVERFLOW = 2
+COPIES_FOR_SECOND = 4
+
 # Steps of the hash that decides which objects a region keeps.
 HASH_STEPS = 1024
 
@@ -259,7 +269,12 @@
         homes = Homes()
         if need.thing:
             self.things.note(need.service, need.thing)
-            homes = find_homes(need.thing, candidates, self.things.count(need.service))
+            homes = find_homes(
+                need.thing,
+                candidates,
+                self.things.count(need.service),
+                self._place.region,
+            )
         options = [
             self._estimate(need, target, homes, len(candidates))
             for target in candidates
@@ -341,12 +356,17 @@
 
 
 class Homes(msgspec.Struct, frozen=True):
-    """The targets that keep an object: the first and the second of each region.
+    """The targets that keep an object for the callers of one region.
+
+    All instances of the region compute the same ones, so that all requests for an object
+    meet the same targets; when one comes or goes, only its own objects move.
 
-    Every instance computes the same ones, so that all requests for an object meet the
-    same targets; when one comes or goes, only its own objects move. A region whose
-    targets can't keep all objects keeps a part of them, and the requests for the others
-    go to regions that do.
+    Parameters
+    ----------
+    first : frozenset of str
+        The target that is to keep the object.
+    second : frozenset of str
+        Targets that get what the first has no room for.
     """
 
     first: frozenset[str] = frozenset()
@@ -359,9 +379,15 @@
         return SECOND_WARM_PART if target.record.id in self.second else 0
 
 
-def find_homes(thing: str, targets: Iterable[Target], things: int) -> Homes:
+def find_homes(
+    thing: str, targets: Iterable[Target], things: int, region: str
+) -> Homes:
     """Return the targets of `targets` that keep the object `thing`.
 
+    An object has one target in the region of its callers, and one elsewhere for what
+    doesn't fit there. A region whose targets can't keep all objects keeps a part of
+    them, and gets none from other regions.
+
     Parameters
     ----------
     thing : str
@@ -369,23 +395,31 @@
     targets : iterable of Target
         Targets of one service.
     things : int
-        Objects that the service is asked for.
+        Objects that the callers of the region ask the service for.
+    region : str
+        Region of the callers.
     """
     regions: dict[str, list[str]] = {}
     for target in targets:
         regions.setdefault(target.record.place.region, []).append(target.record.id)
-    first = set()
-    second = set()
-    for region, ids in regions.items():
-        copies = len(ids) * WARM_OBJECTS / max(1, things)
-        # A hash decides which objects a region keeps when it can't keep all.
-        if copies < 1 and _score(thing, region) % HASH_STEPS >= copies * HASH_STEPS:
-            continue
-        ranked = sorted(ids, key=partial(_score, thing))
-        first.add(ranked[0])
-        if copies >= 2:
-            second.update(ranked[1:2])
-    return Homes(frozenset(first), frozenset(second))
+    near = sorted(regions.pop(region, ()), key=partial(_score, thing))
+    copies = _count_copies(near, things)
+    overflow = _find_overflow(thing, list(regions.values()), things)
+    # A hash decides which objects a region keeps when it can't keep all.
+    if not near or _score(thing, region) % HASH_STEPS >= copies * HASH_STEPS:
+        return Homes(overflow or frozenset(near[:1]))
+    second = near[1:2] if copies >= COPIES_FOR_SECOND else []
+    return Homes(frozenset(near[:1]), overflow.union(second))
+
+
+def _find_overflow(thing: str, far: list[list[str]], things: int) -> frozenset[str]:
+    roomy = [ids for ids in far if _count_copies(ids, things) >= COPIES_FOR_OVERFLOW]
+    ids = chain.from_iterable(roomy or far)
+    return frozenset(sorted(ids, key=partial(_score, thing))[:1])
+
+
+def _count_copies(ids: list[str], things: int) -> float:
+    return len(ids) * WARM_OBJECTS * KEPT_PART / max(1, things)
 
 
 @lru_cache(maxsize=65_536)
