Count an object as known from the send on, and use the load that targets report

Cause: an object counted as known at a target only once its first answer was there. And the load that targets tell with each answer was decoded and unused; the queue was known only from heartbeats, up to 0.4 s old.

A reported load stands for 0.15 s before a heartbeat replaces it. Whether an object was known is kept in the choice, so that a first run doesn't count as slowness.

--- a/currantmast/direct/placement.py
+++ b/currantmast/direct/placement.py
@@ -207,6 +207,8 @@
         Expected round trip, queueing and work, in seconds.
     chance : float
         Chance from 0 to 1 that it knows the object.
+    known : bool
+        Whether this instance sent the object there lately.
     candidates : int
         Number of targets weighed.
     """
@@ -216,6 +218,7 @@
     wait_s: float
     work_s: float
     chance: float
+    known: bool
     candidates: int
 
     @property
@@ -317,6 +320,7 @@
             wait_s=ahead * usual_s / slots,
             work_s=self.times.get(need.service, chance) * slowness,
             chance=chance,
+            known=target.knows(need.thing),
             candidates=candidates,
         )
 
--- a/currantmast/direct/steering.py
+++ b/currantmast/direct/steering.py
@@ -149,6 +149,9 @@
         target = chosen.target
         started = self._clock.now()
         target.in_flight += 1
+        if admitted.thing:
+            # Work that begins while the first on its object still runs is fast already.
+            target.note_handled(admitted.thing)
         try:
             answer = self._exchange(inbound, admitted, target)
         except NothingSent as error:
@@ -185,6 +188,8 @@
         target = chosen.target
         seen = self._wire.decode_answer(answer)
         elapsed_s = self._clock.now() - started
+        if seen.load is not None:
+            target.note_report(seen.load)
         if answer.opened_s:
             self._beliefs.placement.delays.note(
                 target.record.place.region, answer.opened_s
@@ -209,18 +214,15 @@
         self, admitted: Admission, chosen: Chosen, elapsed_s: float
     ) -> None:
         target = chosen.target
-        thing = admitted.call.thing if admitted.route.by_object else ''
         work_s = max(0.001, elapsed_s - chosen.transit_s - chosen.wait_s)
         self._beliefs.placement.note_served(admitted.service, chosen, elapsed_s)
         times = self._beliefs.placement.times
-        knew = target.knows(thing) or times.was_warm(admitted.service, work_s)
+        knew = chosen.known or times.was_warm(admitted.service, work_s)
         usual_s = times.get(admitted.service, 1 if knew else 0)
         target.history.note_success(work_s / usual_s)
         times.note(admitted.service, work_s)
-        if thing:
-            if chosen.chance > 0:
-                target.note_hit(times.was_warm(admitted.service, work_s))
-            target.note_handled(thing)
+        if chosen.chance > 0 and admitted.thing:
+            target.note_hit(times.was_warm(admitted.service, work_s))
 
     def _refuse(
         self,
--- a/currantmast/direct/targets.py
+++ b/currantmast/direct/targets.py
@@ -1,5 +1,6 @@
 """Targets: what the list says of them, and what their answers show."""
 
+import math
 from collections import OrderedDict
 
 import msgspec
@@ -33,6 +34,9 @@
 # Seconds for which a target that shed takes no more than it then ran.
 SHED_S = 0.4
 
+# Seconds for which the load that a target reports is newer than what members tell.
+REPORT_FRESH_S = 0.15
+
 
 class Load(msgspec.Struct, frozen=True):
     """What a target reports of its load."""
@@ -155,6 +159,7 @@
     __slots__ = (
         '_clock',
         '_history',
+        '_reported_at',
         '_shed',
         '_warm',
         'coldness',
@@ -173,6 +178,7 @@
         self.coldness.mark(record.cold_left_s)
         self.ejection = Ejection(clock)
         self._history = History(clock.now())
+        self._reported_at = -math.inf
         self._shed: tuple[int, float] = (0, 0)
         self._warm: OrderedDict[str, None] = OrderedDict()
 
@@ -203,6 +209,16 @@
             self.coldness.mark(seconds)
             self._warm.clear()
 
+    def note_report(self, load: Load) -> None:
+        """Take over the load that the target reports with an answer."""
+        self.peers_in_flight = max(0, load.running + load.waiting - self.in_flight)
+        self._reported_at = self._clock.now()
+
+    def note_peers(self, in_flight: int) -> None:
+        """Take over what the other members tell of their requests here."""
+        if self._clock.now() - self._reported_at >= REPORT_FRESH_S:
+            self.peers_in_flight = in_flight
+
     def limit_load(self, most: int) -> int:
         """Return the most requests it may hold, lowered for a while after it shed."""
         limit, until = self._shed
@@ -310,7 +326,7 @@
     def add_peer_loads(self, loads: dict[str, int]) -> None:
         """Take over how many requests the other members have at each target."""
         for target in self._targets.values():
-            target.peers_in_flight = loads.get(target.record.id, 0)
+            target.note_peers(loads.get(target.record.id, 0))
 
     def count_loads(self) -> dict[str, int]:
         """Return the own requests at each target that has any."""
--- a/currantmast/direct/tries.py
+++ b/currantmast/direct/tries.py
@@ -34,6 +34,11 @@
     ends_at: float
     target_at: float
 
+    @property
+    def thing(self) -> str:
+        """Object that decides where the request is fast; empty for none."""
+        return self.call.thing if self.route.by_object else ''
+
 
 class Settled(msgspec.Struct, frozen=True):
     """A target answered, and the caller gets that."""
@@ -86,7 +91,7 @@
         now = self._clock.now()
         need = Need(
             service=admitted.service,
-            thing=admitted.call.thing if admitted.route.by_object else '',
+            thing=admitted.thing,
             time_left_s=admitted.ends_at - now,
             target_left_s=admitted.target_at - now,
         )
--- a/tests/test_direct_placement.py
+++ b/tests/test_direct_placement.py
@@ -50,7 +50,7 @@
         best = min(targets, key=lambda target: target.load / target.record.slots)
         if best.load >= 4 * best.record.slots:
             return NoRoom(len(targets), 0.1)
-        return Chosen(best, 0.002, 0, WARM_S, 0, len(targets))
+        return Chosen(best, 0.002, 0, WARM_S, 0, False, len(targets))
 
 
 class Replay:
--- a/tests/test_direct_targets.py
+++ b/tests/test_direct_targets.py
@@ -9,7 +9,7 @@
     Service,
     TargetRecord,
 )
-from currantmast.direct.targets import Target, TargetTable
+from currantmast.direct.targets import Load, Target, TargetTable
 from currantmast.messages import Address
 
 HERE = Place('fife', 'fife-a')
@@ -104,3 +104,26 @@
         clock.advance(0.05)
     worst = max(sum(sent[at : at + 20]) for at in range(60))
     assert 3 <= worst <= 3.5 * bounds.cold_factor + bounds.cold_extra
+
+
+def test_reported_load_stands_until_it_is_older_than_what_members_tell():
+    """Guards against queues behind requests that no heartbeat has told of yet."""
+    clock = ManualClock(0)
+    table = TargetTable(clock)
+    table.put(make_record())
+    target = table.get('t1')
+    target.in_flight = 1
+    target.note_report(Load(running=3, waiting=4, slots=3))
+    assert target.load == 7
+    table.add_peer_loads({'t1': 1})
+    assert target.load == 7
+    clock.advance(0.2)
+    table.add_peer_loads({'t1': 1})
+    assert target.load == 2
+
+
+def test_reported_load_below_own_requests_counts_only_these():
+    target = Target(make_record(), ManualClock(0))
+    target.in_flight = 3
+    target.note_report(Load(running=1, waiting=0, slots=3))
+    assert target.load == 3
