Serve sooner after the loss of all instances, and longer into an outage of the store

A new run is credited with half a second of each team's rate: as long at least nothing was admitted while it started.

--- a/currantmast/direct/following.py
+++ b/currantmast/direct/following.py
@@ -3,6 +3,7 @@
 import math
 from collections.abc import Callable
 from enum import Enum
+from random import Random
 from types import MappingProxyType
 from typing import Any, Protocol
 
@@ -42,15 +43,19 @@
         Longest time in seconds that one watch waits for a change.
     gather_s : float
         Pause in seconds after a change, so that one call brings several.
+    least_wait_s : float or None
+        Shortest such time, if it varies: instances whose watches end at different
+        moments tell each other of fresher reads.
     """
 
     wait_s: float
     gather_s: float
+    least_wait_s: float | None = None
 
 
 PACES = MappingProxyType(
     {
-        Topic.configuration: Pace(wait_s=1.5, gather_s=0.1),
+        Topic.configuration: Pace(wait_s=2.2, gather_s=0.1, least_wait_s=0.4),
         Topic.targets: Pace(wait_s=3.0, gather_s=0.6),
         Topic.evacuations: Pace(wait_s=4.0, gather_s=0.3),
         Topic.instances: Pace(wait_s=5.0, gather_s=0.5),
@@ -166,6 +171,7 @@
     __slots__ = (
         '_backoff_s',
         '_clock',
+        '_dice',
         '_health',
         '_known',
         '_lapsing',
@@ -190,6 +196,7 @@
         self._source = source
         self._subscriber = subscriber
         self._clock = clock
+        self._dice = Random()
         self._on_read = on_read
         self._revision: int | None = None
         self._known: dict[str, int] = {}
@@ -234,13 +241,19 @@
         if self._revision is None:
             return self._source.list_all(self.topic)
         # A call that fails fast shows soon that the store is back.
-        wait_s = 0 if self._lost else PACES[self.topic].wait_s
+        wait_s = 0 if self._lost else self._choose_wait()
         if self._lapsing:
             wait_s = min(
                 wait_s, max(0, min(self._lapsing.values()) - self._clock.now())
             )
         return self._source.watch(self.topic, self._revision, wait_s)
 
+    def _choose_wait(self) -> float:
+        pace = PACES[self.topic]
+        if pace.least_wait_s is None:
+            return pace.wait_s
+        return self._dice.uniform(pace.least_wait_s, pace.wait_s)
+
     def _apply(self, news: News, whole: bool) -> None:
         if whole:
             listed = {entry.name for entry in news.entries}
--- a/currantmast/direct/process.py
+++ b/currantmast/direct/process.py
@@ -188,7 +188,10 @@
         self.beliefs.targets_listed = True
 
     def _note_members(self, sent_at: float) -> None:
-        self.beliefs.members_listed = True
+        if not self.beliefs.members_listed:
+            self.beliefs.members_listed = True
+            # The first requests need not wait for the next heartbeat.
+            self.beliefs.rates.follow_peers(self.beliefs.members.list_demands())
 
     def _keep_house(self) -> None:
         while True:
--- a/currantmast/direct/rates.py
+++ b/currantmast/direct/rates.py
@@ -14,6 +14,7 @@
 """
 
 from collections.abc import Iterable, Mapping
+from random import Random
 
 import msgspec
 
@@ -35,6 +36,10 @@
 # as well; announcements of others come this late.
 DEBT_S = 0.5
 
+# Seconds of a team's rate that a new run takes the team's whole bucket to hold. That long
+# at least nothing was admitted by it while it started, nor by anybody when all did.
+START_CREDIT_S = 0.5
+
 # Most members that may each admit a whole request from a reserve of less than one.
 MAX_WHOLE_BORROWERS = 12
 
@@ -71,10 +76,22 @@
     wait_s: float
 
 
+class Undivided(msgspec.Struct, frozen=True):
+    """The rate is not divided yet, since the members of the fleet are unknown."""
+
+
 class _TeamShare:
     """Bucket, demand and the last safe share of one team."""
 
-    __slots__ = ('admitted', 'borrowed', 'bucket', 'demand', 'fleet', 'safe_fraction')
+    __slots__ = (
+        'admitted',
+        'borrowed',
+        'bucket',
+        'credited',
+        'demand',
+        'fleet',
+        'safe_fraction',
+    )
 
     def __init__(self, clock: Clock) -> None:
         self.bucket = TokenBucket(clock)
@@ -82,6 +99,7 @@
         self.fleet = TokenBucket(clock)
         self.admitted = 0
         self.borrowed = 0
+        self.credited = False
         self.demand = DemandMeter(clock)
         self.safe_fraction: float = 0
 
@@ -89,18 +107,29 @@
 class TeamRates:
     """Buckets of all teams at one member.
 
-    A new run starts with empty buckets, so that a restart mints no second burst.
+    A new run starts with nearly empty buckets, so that a restart mints no second burst.
 
     Parameters
     ----------
     clock : Clock
         Source of time.
+    dice : Random, optional
+        Source of chance.
     """
 
-    __slots__ = ('_announced', '_clock', '_counted', '_peers', '_shares', '_teams')
-
-    def __init__(self, clock: Clock) -> None:
+    __slots__ = (
+        '_announced',
+        '_clock',
+        '_counted',
+        '_dice',
+        '_peers',
+        '_shares',
+        '_teams',
+    )
+
+    def __init__(self, clock: Clock, dice: Random | None = None) -> None:
         self._clock = clock
+        self._dice = dice or Random()
         self._shares: dict[str, _TeamShare] = {}
         self._teams: dict[str, Team] = {}
         self._announced: dict[str, float] = {}
@@ -149,12 +178,14 @@
         self._resize()
         return {name: rate for name, rate in self._announced.items() if rate > 0}
 
-    def admit(self, team: Team) -> Admitted | OverRate:
+    def admit(self, team: Team) -> Admitted | OverRate | Undivided:
         """Take a token of `team`."""
         share = self._shares.get(team.name)
         if share is None:
             return Admitted()
         share.demand.note(1)
+        if self._peers is None:
+            return Undivided()
         if _is_overdrawn(team, share):
             return OverRate(-share.fleet.count() / team.rate)
         if share.bucket.take(1) or self._borrow(team, share):
@@ -204,6 +235,16 @@
             share.bucket.resize(
                 team.rate * fraction, max(LEAST_BURST, team.burst * fraction)
             )
+            if not share.credited:
+                self._credit(team, share)
+
+    def _credit(self, team: Team, share: _TeamShare) -> None:
+        share.credited = True
+        credit = team.rate * START_CREDIT_S
+        share.fleet.add(credit)
+        # Members draw for whole tokens, since a part of one admits nothing.
+        whole, part = divmod(credit / (len(self._peers or ()) + 1), 1)
+        share.bucket.add(whole + (self._dice.random() < part))
 
     def _compute_fraction(self, name: str) -> float:
         peers = self._peers or ()
--- a/currantmast/direct/steering.py
+++ b/currantmast/direct/steering.py
@@ -9,7 +9,7 @@
 from currantmast.direct.inbound import Inbound, Outbound
 from currantmast.direct.model import Route, Team
 from currantmast.direct.placement import Chosen, NoRoom
-from currantmast.direct.rates import OverRate
+from currantmast.direct.rates import OverRate, Undivided
 from currantmast.direct.requests import Call, Given, Shed, TargetAnswer, Wire
 from currantmast.direct.targets import Target
 from currantmast.direct.tries import (
@@ -106,9 +106,13 @@
         team = beliefs.configuration.find_team(call.key or '')
         if team is None:
             return self._refuse(call, Reason.key_unknown)
-        admission = beliefs.rates.admit(team)
-        if isinstance(admission, OverRate):
-            return self._refuse(call, Reason.rate_exceeded, admission.wait_s, team)
+        match beliefs.rates.admit(team):
+            case OverRate(wait_s):
+                return self._refuse(call, Reason.rate_exceeded, wait_s, team)
+            case Undivided():
+                return self._refuse(
+                    call, Reason.no_configuration, BOOT_RETRY_AFTER_S, team
+                )
         return team
 
     def _make_admission(
--- a/tests/test_direct_following.py
+++ b/tests/test_direct_following.py
@@ -171,13 +171,30 @@
     assert not world.table.kept
 
 
-def test_first_call_after_a_failure_does_not_wait_for_a_change():
+def record_waits(world):
     waits = []
-    world = World()
     original = world.source.watch
     world.source.watch = lambda topic, revision, wait_s: (
         waits.append(wait_s) or original(topic, revision, wait_s)
     )
+    return waits
+
+
+def test_first_call_after_a_failure_does_not_wait_for_a_change():
+    world = World()
+    waits = record_waits(world)
     world.play(News(5, ()), DOWN, CALM, CALM)
     assert waits[1] == 0
     assert waits[2] > 0
+
+
+def test_watches_of_the_configuration_end_at_different_moments():
+    """Guards against leases that all end together at the start of an outage.
+
+    After a change all instances began their watches at the same moment, so the newest
+    read of the whole fleet was as old as a watch is long.
+    """
+    world = World(Topic.configuration)
+    waits = record_waits(world)
+    world.play(News(5, ()), *[CALM] * 40)
+    assert min(waits) < 1 < 1.6 < max(waits)
--- a/tests/test_direct_placement.py
+++ b/tests/test_direct_placement.py
@@ -205,7 +205,10 @@
     kept = [
         thing
         for thing in map(str, range(64))
-        if any(home.startswith('uist') for home in find_homes(thing, small, 64, 'uist').first)
+        if any(
+            home.startswith('uist')
+            for home in find_homes(thing, small, 64, 'uist').first
+        )
     ]
     assert 8 <= len(kept) <= 24
 
--- a/tests/test_direct_rates.py
+++ b/tests/test_direct_rates.py
@@ -4,7 +4,13 @@
 
 from currantmast.clocks import ManualClock
 from currantmast.direct.model import Team
-from currantmast.direct.rates import Admitted, DemandReport, OverRate, TeamRates
+from currantmast.direct.rates import (
+    Admitted,
+    DemandReport,
+    OverRate,
+    TeamRates,
+    Undivided,
+)
 
 TEAM = Team('schools', rate=9, burst=9)
 PERIOD_S = 0.2
@@ -15,6 +21,7 @@
 
     def __init__(self, size, team=TEAM):
         self.clock = ManualClock(1000)
+        self.dice = random.Random(5)
         self.team = team
         self.members = {str(number): self.start() for number in range(size)}
         self.runs = dict.fromkeys(self.members, 'a')
@@ -22,7 +29,7 @@
         self.last = {}
 
     def start(self):
-        rates = TeamRates(self.clock)
+        rates = TeamRates(self.clock, self.dice)
         rates.follow_teams([self.team])
         return rates
 
@@ -118,6 +125,30 @@
     assert most_in_window(admitted) <= (9 * 5 + 9) * 1.1 + 20
 
 
+def test_calm_team_is_served_at_once_after_the_loss_of_all_members():
+    """Replays the first second after all members were killed and started again.
+
+    All buckets were empty, so nearly every request of that second was refused.
+    """
+    team = Team('schools', rate=15, burst=15)
+    fleet = Fleet(10, team)
+    run_load(fleet, dict, 10)
+    for name in fleet.members:
+        fleet.members[name] = fleet.start()
+        fleet.runs[name] = 'b'
+    fleet.announce()
+    dice = random.Random(3)
+    offered = []
+
+    def scatter():
+        names = dice.sample(sorted(fleet.members), 2)
+        offered.append(2)
+        return dict.fromkeys(names, 1)
+
+    admitted = run_load(fleet, scatter, 1)
+    assert sum(admitted) >= 0.8 * sum(offered)
+
+
 def test_no_share_rises_while_a_member_is_silent():
     """Guards against both sides of a partition taking each other's share."""
     fleet = Fleet(9, Team('schools', rate=90, burst=9))
@@ -142,3 +173,10 @@
     free = Team('fitters')
     rates.follow_teams([free])
     assert all(isinstance(rates.admit(free), Admitted) for _ in range(1000))
+
+
+def test_member_that_knows_no_others_admits_nothing_and_blames_no_rate():
+    """Guards against a whole rate for each member, and a wrong reason in the logs."""
+    rates = TeamRates(ManualClock())
+    rates.follow_teams([TEAM])
+    assert rates.admit(TEAM) == Undivided()
