Log what decided a refusal, and every change of belief

- request_refused for a rate: rate, burst, tokens of the share and of the whole team, silent members, and the seconds after which the caller may return.
- request_ended: of the targets weighed, how many were full, strange to the object (and busy) or too late.
- New lines: member_listed, member_heard, member_silent, target_ejected.
- explain-request shows, of two opposed lines (store_lost and store_regained), only the newer, and no member that is heard.

The test of the refusal's wait compared a value with itself; it now checks the tokens.

--- a/currantmast/commands/requests.py
+++ b/currantmast/commands/requests.py
@@ -5,6 +5,7 @@
 import sys
 from collections.abc import Iterable
 from pathlib import Path
+from types import MappingProxyType
 
 import msgspec
 
@@ -20,22 +21,43 @@
         'domains_evacuated',
         'entry_gone',
         'history_gone',
+        'member_heard',
         'member_removed',
+        'member_silent',
         'settings_reloaded',
         'started',
         'stopping',
         'store_lost',
         'store_regained',
+        'target_ejected',
         'target_listed',
         'target_probed',
         'target_unreachable',
     )
 )
 ABOUT_TARGETS = frozenset(
-    ('entry_gone', 'target_listed', 'target_probed', 'target_unreachable')
+    (
+        'entry_gone',
+        'target_ejected',
+        'target_listed',
+        'target_probed',
+        'target_unreachable',
+    )
 )
 
 
+# Events that end what another one began; only the newer of two tells what was believed.
+OPPOSED = MappingProxyType(
+    {
+        'member_heard': 'member_silent',
+        'store_regained': 'store_lost',
+        'target_probed': 'target_ejected',
+    }
+)
+# The usual state of a member, which explains nothing.
+USUAL = 'member_heard'
+
+
 class RequestUnknown(CurrantmastError):
     """No line of the logs names the request."""
 
@@ -130,20 +152,28 @@
         for target in ending.fields.get('targets', '').split(',')
     }
     newest = {
-        (line.instance, line.event, line.fields.get('topic'), _find_subject(line)): line
+        _find_subject(line): line
         for line in parsed
         if line.instance in instances and line.time <= end and _concerns(line, targets)
     }
-    return sorted(newest.values(), key=lambda line: line.time)
+    telling = [line for line in newest.values() if line.event != USUAL]
+    return sorted(telling, key=lambda line: line.time)
 
 
 def _concerns(line: LogLine, targets: set[str]) -> bool:
     if line.event in ABOUT_TARGETS:
-        return _find_subject(line) in targets
+        return _find_target(line) in targets
     return line.event in BELIEFS
 
 
-def _find_subject(line: LogLine) -> str:
+def _find_subject(line: LogLine) -> tuple[str | None, ...]:
+    """Return what a line is about: a newer one about the same replaces it."""
+    event = OPPOSED.get(line.event, line.event)
+    names = (line.fields.get('topic'), line.fields.get('member'), _find_target(line))
+    return (line.instance, event, *names)
+
+
+def _find_target(line: LogLine) -> str:
     return line.fields.get('target') or line.fields.get('name', '')
 
 
--- a/currantmast/direct/beliefs.py
+++ b/currantmast/direct/beliefs.py
@@ -148,6 +148,7 @@
         """Add or update a member."""
         self._beliefs.members.put(value)
         self._beliefs.share_members()
+        log_event('member_listed', member=name, domain=value.place.failure_domain)
 
     def remove(self, name: str) -> None:
         """Forget a member; a record of this instance must be written again."""
--- a/currantmast/direct/heartbeats.py
+++ b/currantmast/direct/heartbeats.py
@@ -140,6 +140,11 @@
 
     def _refresh(self) -> None:
         beliefs = self._beliefs
+        heard, silent = beliefs.members.compare_heard()
+        for member_id in sorted(heard):
+            log_event('member_heard', member=member_id)
+        for member_id in sorted(silent):
+            log_event('member_silent', level='WARNING', member=member_id)
         if beliefs.members_listed:
             beliefs.rates.follow_peers(beliefs.members.list_demands())
         beliefs.targets.add_peer_loads(beliefs.members.sum_loads())
--- a/currantmast/direct/members.py
+++ b/currantmast/direct/members.py
@@ -75,7 +75,7 @@
         Source of time.
     """
 
-    __slots__ = ('_clock', '_echoes', '_listed_at', '_records', 'own')
+    __slots__ = ('_clock', '_echoes', '_heard', '_listed_at', '_records', 'own')
 
     def __init__(self, own: InstanceRecord, clock: Clock) -> None:
         self.own = own
@@ -83,6 +83,7 @@
         self._records: dict[str, InstanceRecord] = {}
         self._listed_at: dict[str, float] = {}
         self._echoes: dict[str, Echo] = {}
+        self._heard: frozenset[str] = frozenset()
 
     def __len__(self) -> int:
         """Return the number of members, this one included."""
@@ -125,6 +126,12 @@
         """Return the newest heartbeat of a member."""
         return self._echoes.get(member_id)
 
+    def compare_heard(self) -> tuple[frozenset[str], frozenset[str]]:
+        """Return the members heard anew, and those silent, since the last call."""
+        before = self._heard
+        self._heard = frozenset(filter(self._is_alive, self._records))
+        return self._heard - before, before - self._heard
+
     def list_ready(self) -> tuple[InstanceRecord, ...]:
         """Return the other members that callers may be sent to."""
         return tuple(
--- a/currantmast/direct/placement.py
+++ b/currantmast/direct/placement.py
@@ -7,6 +7,7 @@
 
 from collections import OrderedDict
 from collections.abc import Iterable
+from enum import Enum
 from functools import lru_cache, partial
 from itertools import chain
 
@@ -224,6 +225,14 @@
         return self.transit_s + self.wait_s + self.work_s
 
 
+class Obstacle(Enum):
+    """Why a request can't go to a target."""
+
+    full = 'full'
+    strange = 'strange'
+    late = 'late'
+
+
 class NoRoom(msgspec.Struct, frozen=True):
     """No target can serve the request in time.
 
@@ -233,10 +242,16 @@
         Number of targets weighed.
     room_in_s : float
         Seconds until a target is expected to have room.
+    full, strange, late : int
+        Targets that hold all they may, that are busy and don't keep the object, and that
+        would answer after the caller or the route has given up.
     """
 
     candidates: int
     room_in_s: float
+    full: int = 0
+    strange: int = 0
+    late: int = 0
 
 
 class Placement:
@@ -279,11 +294,18 @@
             self._estimate(need, target, homes, len(candidates))
             for target in candidates
         ]
-        fitting = [option for option in options if self._fits(need, option)]
+        obstacles = [self._find_obstacle(need, option) for option in options]
+        pairs = zip(options, obstacles, strict=True)
+        fitting = [option for option, obstacle in pairs if obstacle is None]
         if fitting:
             return self._pick(need, fitting)
-        waits = [option.wait_s for option in options]
-        return NoRoom(len(candidates), min((need.time_left_s, *waits)))
+        return NoRoom(
+            len(candidates),
+            min((need.time_left_s, *(option.wait_s for option in options))),
+            full=obstacles.count(Obstacle.full),
+            strange=obstacles.count(Obstacle.strange),
+            late=obstacles.count(Obstacle.late),
+        )
 
     def note_served(self, service: str, chosen: Chosen, elapsed_s: float) -> None:
         """Record how long a request took in all, against what was expected."""
@@ -321,21 +343,20 @@
             candidates=candidates,
         )
 
-    def _fits(self, need: Need, option: Chosen) -> bool:
+    def _find_obstacle(self, need: Need, option: Chosen) -> Obstacle | None:
         target = option.target
         slots = target.record.slots
-        most = max(1, round(slots * LOAD_PER_SLOT))
-        if need.thing and not option.chance:
+        if target.load >= target.limit_load(max(1, round(slots * LOAD_PER_SLOT))):
+            return Obstacle.full
+        if need.thing and not option.chance and target.load:
             # Objects that are new to a target take long and push out those that it is
             # to keep, so they only get one that has nothing to do.
-            most = 1
-        if target.load >= target.limit_load(most):
-            return False
+            return Obstacle.strange
+        left_s = need.time_left_s * TIME_PART / self.times.get_stretch(need.service)
         if not need.thing and target.load < slots:
             # Nothing is waited for, and a wrong expectation must not exclude it for good.
-            return option.expected_s <= need.time_left_s
-        stretch = self.times.get_stretch(need.service)
-        return option.expected_s * stretch <= need.time_left_s * TIME_PART
+            left_s = need.time_left_s
+        return None if option.expected_s <= left_s else Obstacle.late
 
     def _weigh(self, option: Chosen) -> float:
         place = option.target.record.place
--- a/currantmast/direct/rates.py
+++ b/currantmast/direct/rates.py
@@ -71,9 +71,22 @@
 
 
 class OverRate(msgspec.Struct, frozen=True):
-    """The request is beyond the team's rate; `wait_s` seconds until a token."""
+    """The request is beyond the team's rate, with what decided it.
+
+    Parameters
+    ----------
+    wait_s : float
+        Seconds until a token.
+    share_tokens, team_tokens : float
+        What the own share holds, and by estimate the whole team's bucket.
+    silent : int
+        Members that are not heard; while there are any, no share rises.
+    """
 
     wait_s: float
+    share_tokens: float = 0
+    team_tokens: float = 0
+    silent: int = 0
 
 
 class Undivided(msgspec.Struct, frozen=True):
@@ -187,12 +200,16 @@
         if self._peers is None:
             return Undivided()
         if _is_overdrawn(team, share):
-            return OverRate(-share.fleet.count() / team.rate)
+            return self._explain(share, -share.fleet.count() / team.rate)
         if share.bucket.take(1) or self._borrow(team, share):
             share.fleet.spend(1)
             share.admitted += 1
             return Admitted()
-        return OverRate(share.bucket.get_wait(1))
+        return self._explain(share, share.bucket.get_wait(1))
+
+    def _explain(self, share: _TeamShare, wait_s: float) -> OverRate:
+        silent = sum(not peer.heard for peer in self._peers or ())
+        return OverRate(wait_s, share.bucket.count(), share.fleet.count(), silent)
 
     def _borrow(self, team: Team, share: _TeamShare) -> bool:
         peers = self._peers or ()
--- a/currantmast/direct/steering.py
+++ b/currantmast/direct/steering.py
@@ -107,8 +107,8 @@
         if team is None:
             return self._refuse(call, Reason.key_unknown)
         match beliefs.rates.admit(team):
-            case OverRate(wait_s):
-                return self._refuse(call, Reason.rate_exceeded, wait_s, team)
+            case OverRate() as over:
+                return self._refuse_rate(call, team, over)
             case Undivided():
                 return self._refuse(
                     call, Reason.no_configuration, BOOT_RETRY_AFTER_S, team
@@ -141,7 +141,6 @@
         while tries.may_go_on():
             chosen = tries.choose()
             if isinstance(chosen, NoRoom):
-                tries.candidates = chosen.candidates
                 return tries.explain(chosen, ending)
             tries.begin(chosen)
             ending = tries.prefer(self._send(inbound, admitted, chosen))
@@ -228,12 +227,26 @@
         if chosen.chance > 0 and admitted.thing:
             target.note_hit(times.was_warm(admitted.service, work_s))
 
+    def _refuse_rate(self, call: Call, team: Team, over: OverRate) -> Outbound:
+        return self._refuse(
+            call,
+            Reason.rate_exceeded,
+            over.wait_s,
+            team,
+            rate=team.rate,
+            burst=team.burst,
+            share_tokens=over.share_tokens,
+            team_tokens=over.team_tokens,
+            silent=over.silent,
+        )
+
     def _refuse(
         self,
         call: Call,
         reason: Reason,
         after_s: float | None = None,
         team: Team | None = None,
+        **inputs: float,
     ) -> Outbound:
         log_event(
             'request_refused',
@@ -243,6 +256,8 @@
             team=team.name if team else None,
             version=self._beliefs.configuration.version,
             config_age_s=self._beliefs.freshness.age(),
+            retry_after_s=after_s,
+            **inputs,
         )
         self._meter.count('refused', reason)
         return _encode_refusal(NotRun(reason), after_s)
@@ -285,6 +300,9 @@
             chance=last.chance if last else None,
             homes=','.join(sorted(admitted.homes)),
             candidates=tries.candidates,
+            full=tries.no_room.full,
+            strange=tries.no_room.strange,
+            late=tries.no_room.late,
             version=self._beliefs.configuration.version,
         )
 
--- a/currantmast/direct/targets.py
+++ b/currantmast/direct/targets.py
@@ -8,6 +8,7 @@
 from currantmast.clocks import Clock
 from currantmast.direct.coldness import Coldness
 from currantmast.direct.model import TargetRecord, TargetState
+from currantmast.runtime.logs import log_event
 
 # Objects that a target is taken to keep warm.
 WARM_OBJECTS = 12
@@ -242,8 +243,14 @@
     def note_failure(self) -> None:
         """Record a request that it failed or whose connection broke."""
         self.history.note_failure(SLOWNESS_WEIGHT)
-        if self._history.failures >= EJECT_AFTER:
+        if self._history.failures >= EJECT_AFTER and not self.ejection:
             self.ejection.begin()
+            log_event(
+                'target_ejected',
+                level='WARNING',
+                target=self.record.id,
+                failures=self._history.failures,
+            )
 
     def note_shed(self) -> None:
         """Record that it was full."""
--- a/currantmast/direct/tries.py
+++ b/currantmast/direct/tries.py
@@ -69,6 +69,7 @@
         self._failed: Settled | None = None
         self.last: Chosen | None = None
         self.candidates = 0
+        self.no_room = NoRoom(0, 0)
         self.ids: list[str] = []
 
     @property
@@ -141,6 +142,8 @@
 
     def explain(self, no_room: NoRoom, ending: Ending) -> Ending:
         """Return the ending when no target can take the request now."""
+        self.candidates = no_room.candidates
+        self.no_room = no_room
         if self._may_have_run:
             return self.conclude(ending)
         after_s = min(MOST_RETRY_AFTER_S, max(LEAST_RETRY_AFTER_S, no_room.room_in_s))
--- a/tests/test_direct_rates.py
+++ b/tests/test_direct_rates.py
@@ -164,7 +164,8 @@
     rates = fleet.members['0']
     answers = [rates.admit(TEAM) for _ in range(10)]
     assert isinstance(answers[8], Admitted)
-    assert answers[9] == OverRate(answers[9].wait_s)
+    assert isinstance(answers[9], OverRate)
+    assert answers[9].share_tokens < 1
     assert 0 < answers[9].wait_s <= 1 / 9 + 0.001
 
 
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -33,6 +33,22 @@
     assert 'connection_lost' in format_story(story)
 
 
+def test_story_names_silent_members_and_no_dependency_that_is_back():
+    """Guards against a long story in which the one missing member is lost."""
+    changes = [
+        'time=T1 level=INFO instance=i1 event=member_heard member=i2',
+        'time=T1 level=INFO instance=i1 event=member_heard member=i3',
+        'time=T2 level=WARNING instance=i1 event=member_silent member=i2',
+        'time=T2 level=WARNING instance=i1 event=store_lost topic=targets error=e',
+        'time=T3 level=INFO instance=i1 event=store_regained topic=targets',
+    ]
+    story = tell_story('q1', [*LINES[4:], *changes])
+    events = [(line.event, line.fields.get('member')) for line in story.beliefs]
+    assert ('member_silent', 'i2') in events
+    assert ('member_heard', 'i3') not in events
+    assert ('store_lost', None) not in events
+
+
 def test_cut_and_foreign_lines_are_passed_over():
     texts = [*LINES, 'time=T7 level=IN', 'Traceback (most recent call last):', '', '=']
     assert tell_story('q2', texts).lines
