Tell in the line of each request why it left its region

The lines could not tell the three hypotheses of the incident apart. request_ended now has crossing (none, unkept, full, late, faster), the load that was believed when it was sent, the load that the target reported with its answer, and the count of objects that decided; the counter placements counts requests sent by crossing. No placement changes. The new test failed before: none of the four fields was there.

--- a/currantmast/direct/meters.py
+++ b/currantmast/direct/meters.py
@@ -29,6 +29,12 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self._registry,
         )
+        self._crossings = Counter(
+            'placements',
+            'Requests sent, by why they left the region.',
+            ['crossing'],
+            registry=self._registry,
+        )
         self._beliefs = Gauge(
             'belief',
             'What the instance believes, by name.',
@@ -44,6 +50,10 @@
         """Count one request."""
         self._outcomes.labels(outcome, str(reason)).inc()
 
+    def count_crossing(self, crossing: str) -> None:
+        """Count one request that was sent, by why it left the region."""
+        self._crossings.labels(crossing).inc()
+
     def time(self, outcome: str, seconds: float) -> None:
         """Record how long a request took."""
         self._latency.labels(outcome).observe(seconds)
--- a/currantmast/direct/placement.py
+++ b/currantmast/direct/placement.py
@@ -194,6 +194,16 @@
     target_left_s: float
 
 
+class Crossing(Enum):
+    """Why a request runs in another region than that of its instance."""
+
+    none = 'none'
+    unkept = 'unkept'
+    full = 'full'
+    late = 'late'
+    faster = 'faster'
+
+
 class Chosen(msgspec.Struct, frozen=True):
     """The target to send to, with what was expected of it.
 
@@ -209,6 +219,10 @@
         Whether this instance sent the object there lately.
     candidates : int
         Number of targets weighed.
+    load : int
+        Requests that the target was believed to have.
+    crossing : Crossing
+        Why it is in another region; `none` when it isn't.
     """
 
     target: Target
@@ -218,6 +232,8 @@
     chance: float
     known: bool
     candidates: int
+    load: int = 0
+    crossing: Crossing = Crossing.none
 
     @property
     def expected_s(self) -> float:
@@ -295,10 +311,13 @@
             for target in candidates
         ]
         obstacles = [self._find_obstacle(need, option) for option in options]
-        pairs = zip(options, obstacles, strict=True)
+        pairs = list(zip(options, obstacles, strict=True))
         fitting = [option for option, obstacle in pairs if obstacle is None]
         if fitting:
-            return self._pick(need, fitting)
+            best = self._pick(need, fitting)
+            return msgspec.structs.replace(
+                best, crossing=self._explain_crossing(need, best, pairs)
+            )
         return NoRoom(
             len(candidates),
             min((need.time_left_s, *(option.wait_s for option in options))),
@@ -319,6 +338,18 @@
         self._overflow.note(need.service, away=not self._is_near(best))
         return best
 
+    def _explain_crossing(
+        self, need: Need, best: Chosen, pairs: list[tuple[Chosen, Obstacle | None]]
+    ) -> Crossing:
+        if self._is_near(best):
+            return Crossing.none
+        kept = {obstacle for option, obstacle in pairs if self._keeps(need, option)}
+        if not kept:
+            return Crossing.unkept
+        if None in kept:
+            return Crossing.faster
+        return Crossing.full if Obstacle.full in kept else Crossing.late
+
     def _is_near(self, option: Chosen) -> bool:
         return option.target.record.place.region == self._place.region
 
@@ -341,6 +372,7 @@
             chance=chance,
             known=target.knows(need.thing),
             candidates=candidates,
+            load=target.load,
         )
 
     def _find_obstacle(self, need: Need, option: Chosen) -> Obstacle | None:
--- a/currantmast/direct/steering.py
+++ b/currantmast/direct/steering.py
@@ -281,6 +281,8 @@
         self._meter.count(outcome, reason)
         self._meter.time(outcome, elapsed_s)
         last = tries.last
+        if last is not None:
+            self._meter.count_crossing(last.crossing.value)
         log_event(
             'request_ended',
             level='INFO' if outcome == 'answered' else 'WARNING',
@@ -298,6 +300,10 @@
             expected_s=last.expected_s if last else None,
             wait_s=last.wait_s if last else None,
             chance=last.chance if last else None,
+            crossing=last.crossing.value if last else None,
+            load=last.load if last else None,
+            reported=_get_reported(ending),
+            things=self._beliefs.placement.things.count(admitted.service),
             homes=','.join(sorted(admitted.homes)),
             candidates=tries.candidates,
             full=tries.no_room.full,
@@ -327,6 +333,13 @@
     return Reason.connection_lost
 
 
+def _get_reported(ending: Ending) -> int | None:
+    """Return how many requests the target said it had when it answered."""
+    if isinstance(ending, Settled) and ending.seen.load is not None:
+        return ending.seen.load.running + ending.seen.load.waiting
+    return None
+
+
 def _describe(ending: Ending) -> tuple[str, str]:
     match ending:
         case Settled(_, seen):
--- a/tests/test_direct_logs.py
+++ b/tests/test_direct_logs.py
@@ -101,6 +101,17 @@
         assert field in output.getvalue()
 
 
+def test_line_of_a_request_that_left_its_region_tells_why(output):
+    """Guards against a change of region of which nobody can tell the cause."""
+    near, far = make_target('t1'), make_target('t2', place=Place('skye', 'skye-a'))
+    world = World(OK, targets=(near, far))
+    world.beliefs.targets.get('t1').in_flight = 6
+    world.ask()
+    (line,) = [line for line in output.getvalue().splitlines() if 'request=q1' in line]
+    for field in ('domain=skye-a', 'crossing=full', 'load=0', 'reported=', 'things='):
+        assert field in line
+
+
 class Source:
     def __init__(self):
         self.script = []
