Bound heads, trailers, interim and foreign answers, bodies and the memory of all exchanges

Cause: only the body of one answer was bounded, at 64 MiB. Now an answer has bounds for its body, its header lines, all that is no body, interim answers and answers of others, and all exchanges of a process share one bound. Each raises AnswerTooLarge with its kind, which is logged and counted; the caller gets 502, the connection is closed, the target counts as failing. The parser holds a name or value back until it is whole, so requests are bounded by what was received beside their body too.

--- a/currantmast/direct/exchanges.py
+++ b/currantmast/direct/exchanges.py
@@ -21,6 +21,7 @@
 from currantmast.direct.inbound import CONNECTION_HEADERS
 from currantmast.errors import (
     AnswerIncomplete,
+    AnswerTooLarge,
     ExchangeBroken,
     NothingSent,
     ProgressTimeout,
@@ -28,7 +29,6 @@
 from currantmast.messages import Address
 
 CHUNK_BYTES = 65_536
-MAX_ANSWER_BYTES = 64 * 1024 * 1024
 CONNECT_TIMEOUT_S = 0.4
 
 # Seconds for which an idle connection is kept when the target names no time, and the
@@ -36,8 +36,16 @@
 IDLE_S = 6.0
 IDLE_PART = 0.6
 
-NO_BODY_STATUSES = frozenset((204, 304))
-FIRST_FINAL_STATUS = 200
+# Bounds of one exchange. Overhead is all that is no body: heads, trailers, the framing of
+# chunks, and empty lines.
+MAX_BODY_BYTES = 4 * 1024 * 1024
+MAX_OVERHEAD_BYTES = 256 * 1024
+MAX_HEADERS = 256
+MAX_INTERIM_ANSWERS = 16
+MAX_FOREIGN_ANSWERS = 16
+
+# Bytes of bodies that all exchanges of a process may hold at the same time.
+MAX_HELD_BYTES = 24 * 1024 * 1024
 
 
 class Attempt(msgspec.Struct, frozen=True):
@@ -100,6 +108,31 @@
     until: float
 
 
+class HeldBytes:
+    """Counts the bytes of bodies that all exchanges hold."""
+
+    __slots__ = ('count',)
+
+    def __init__(self) -> None:
+        self.count = 0
+
+    def __repr__(self) -> str:
+        """Return the count."""
+        return f'<HeldBytes {self.count}>'
+
+    def add(self, size: int) -> None:
+        """Count the bytes of a part.
+
+        Raises
+        ------
+        AnswerTooLarge
+            If all exchanges together hold too many.
+        """
+        if self.count + size > MAX_HELD_BYTES:
+            raise AnswerTooLarge('memory')
+        self.count += size
+
+
 class Exchanges:
     """Connections to all targets; a context manager that closes them.
 
@@ -109,10 +142,11 @@
         Source of time.
     """
 
-    __slots__ = ('_clock', '_idle', 'opened')
+    __slots__ = ('_clock', '_held', '_idle', 'opened')
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
+        self._held = HeldBytes()
         self._idle: dict[str, deque[_Idle]] = {}
         self.opened = 0
 
@@ -161,7 +195,7 @@
         ------
         NothingSent
             If no connection could be opened; nothing can have run.
-        ProgressTimeout, AnswerIncomplete, ExchangeBroken
+        ProgressTimeout, AnswerTooLarge, AnswerIncomplete, ExchangeBroken
             If bytes may have left and no whole answer came back.
         """
         started = self._clock.now()
@@ -170,7 +204,7 @@
         if sock is None:
             sock = self._open(address, min(timeout_s, CONNECT_TIMEOUT_S))
             opened_s = self._clock.now() - started
-        reader = _AnswerReader(attempt.method, owns, opened_s)
+        reader = _AnswerReader(owns, opened_s, self._held)
         clean = False
         try:
             with gevent.Timeout(
@@ -181,6 +215,7 @@
         except OSError as error:
             raise ExchangeBroken(f'{type(error).__name__}: {error}') from error
         finally:
+            reader.release()
             if clean:
                 self._keep(target_id, sock, reader.idle_s)
             else:
@@ -218,14 +253,16 @@
 class _AnswerReader:
     """Parses what a target sends until the answer that belongs to the request."""
 
-    def __init__(self, method: str, owns: Owns, opened_s: float) -> None:
+    def __init__(self, owns: Owns, opened_s: float, held: HeldBytes) -> None:
         self.answer: Answer | None = None
         self.idle_s = IDLE_S
-        self._method = method
         self._owns = owns
         self._opened_s = opened_s
+        self._held = held
         self._parser = httptools.HttpResponseParser(self)
         self._begun = 0
+        self._interim = 0
+        self._foreign = 0
         self._dirty = False
         # The parser forgets it once it has told that an answer is complete.
         self._keep_alive = False
@@ -233,6 +270,8 @@
         self._headers: list[tuple[str, str]] = []
         self._body: list[bytes] = []
         self._size = 0
+        self._received = 0
+        self._body_received = 0
         self._head_done = False
 
     def feed(self, received: bytes) -> None:
@@ -240,6 +279,8 @@
 
         Raises
         ------
+        AnswerTooLarge
+            If they go beyond a bound.
         ExchangeBroken
             If they are no answer.
         """
@@ -251,7 +292,18 @@
         except httptools.HttpParserError as error:
             self._dirty = True
             if self.answer is None:
-                raise ExchangeBroken(f'{type(error).__name__}: {error}') from error
+                raise _find_cause(error) from error
+        self._received += len(received)
+        # Framing of small chunks takes a few times their size.
+        most = MAX_OVERHEAD_BYTES + self._body_received
+        if self.answer is None and self._received - self._body_received > most:
+            raise AnswerTooLarge('overhead')
+
+    def release(self) -> None:
+        """Hold no bytes any more."""
+        self._held.count -= self._size
+        self._size = 0
+        self._body = []
 
     def finish(self) -> None:
         """Take the end of the connection, which ends an answer without a length.
@@ -279,8 +331,7 @@
         self._begun += 1
         self._reason = b''
         self._headers = []
-        self._body = []
-        self._size = 0
+        self.release()
         self._head_done = False
 
     def on_status(self, status: bytes) -> None:
@@ -289,6 +340,8 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Take one header."""
+        if len(self._headers) >= MAX_HEADERS:
+            raise AnswerTooLarge('headers')
         self._headers.append((name.decode('latin-1'), value.decode('latin-1')))
 
     def on_headers_complete(self) -> None:
@@ -300,18 +353,23 @@
 
     def on_body(self, body: bytes) -> None:
         """Take a part of the body."""
+        self._body_received += len(body)
+        if self.answer is not None:
+            return
+        if self._size + len(body) > MAX_BODY_BYTES:
+            raise AnswerTooLarge('body')
+        self._held.add(len(body))
         self._size += len(body)
-        if self._size > MAX_ANSWER_BYTES:
-            raise AnswerIncomplete(f'the answer is over {MAX_ANSWER_BYTES} bytes')
-        if self.answer is None:
-            self._body.append(body)
+        self._body.append(body)
 
     def on_message_complete(self) -> None:
         """Keep the answer if it belongs to the request."""
         status = self._parser.get_status_code()
         self._keep_alive = self._parser.should_keep_alive()
-        if status < FIRST_FINAL_STATUS or self.answer is not None:
-            self._begun -= status < FIRST_FINAL_STATUS
+        if status < FIRST_FINAL_STATUS:
+            self._count_interim()
+            return
+        if self.answer is not None:
             return
         headers = tuple(
             (name, text)
@@ -327,6 +385,16 @@
         )
         if self._owns(answer):
             self.answer = answer
+            return
+        self._foreign += 1
+        if self._foreign > MAX_FOREIGN_ANSWERS:
+            raise AnswerTooLarge('foreign')
+
+    def _count_interim(self) -> None:
+        self._begun -= 1
+        self._interim += 1
+        if self._interim > MAX_INTERIM_ANSWERS:
+            raise AnswerTooLarge('interim')
 
     def _take_idle_time(self, text: str) -> None:
         for field in text.split(','):
@@ -350,6 +418,14 @@
     return reader.answer
 
 
+def _find_cause(error: httptools.HttpParserError) -> ExchangeBroken:
+    """Return the typed error for one of the parser, which wraps those of callbacks."""
+    cause = error.__context__
+    if isinstance(cause, AnswerTooLarge):
+        return cause
+    return ExchangeBroken(f'{type(error).__name__}: {error}')
+
+
 def encode_attempt(attempt: Attempt) -> bytes:
     """Return the bytes of a request."""
     lines = [f'{attempt.method} {attempt.url} HTTP/1.1']
--- a/currantmast/direct/inbound.py
+++ b/currantmast/direct/inbound.py
@@ -29,6 +29,11 @@
 )
 
 
+# Bytes that a head may have beyond those of its names and values, and that a body in
+# chunks may take beside its content.
+SPARE_BYTES = 65_536
+
+
 class RequestRejected(CurrantmastError):
     """The bytes of a caller are no request that may be answered otherwise.
 
@@ -99,17 +104,25 @@
         self._parser = httptools.HttpRequestParser(self)
         self._head_bytes = 0
         self._body_bytes = 0
+        self._overhead = 0
         self._url = b''
         self._headers: list[tuple[str, str]] = []
         self._body: list[bytes] = []
 
     def feed(self, received: bytes) -> bool:
         """Parse bytes; return False when no request can follow on the connection."""
+        before = self._body_bytes
         try:
             self._parser.feed_data(received)
         except httptools.HttpParserError as error:
             self.complete.append(_find_rejection(error))
             return False
+        self._overhead += len(received) - max(0, self._body_bytes - before)
+        # The parser holds a name or value back until it is whole.
+        most = self._limits.header_bytes + SPARE_BYTES + self._body_bytes
+        if self._overhead > most:
+            self.complete.append(RequestRejected(431, 'too much beside the body'))
+            return False
         return True
 
     def choose_timeout(self) -> float:
@@ -171,6 +184,7 @@
             received_at=self.started_at or self._clock.now(),
         )
         self.started_at = None
+        self._overhead = 0
         self.complete.append(request)
 
     def _count_head(self, size: int) -> None:
--- a/currantmast/direct/meters.py
+++ b/currantmast/direct/meters.py
@@ -35,6 +35,12 @@
             ['crossing'],
             registry=self._registry,
         )
+        self._oversizes = Counter(
+            'answers_too_large',
+            'Answers of targets that went beyond a bound, by bound.',
+            ['kind'],
+            registry=self._registry,
+        )
         self._beliefs = Gauge(
             'belief',
             'What the instance believes, by name.',
@@ -54,6 +60,10 @@
         """Count one request that was sent, by why it left the region."""
         self._crossings.labels(crossing).inc()
 
+    def count_oversize(self, kind: str) -> None:
+        """Count one answer that went beyond a bound."""
+        self._oversizes.labels(kind).inc()
+
     def time(self, outcome: str, seconds: float) -> None:
         """Record how long a request took."""
         self._latency.labels(outcome).observe(seconds)
--- a/currantmast/direct/steering.py
+++ b/currantmast/direct/steering.py
@@ -24,6 +24,7 @@
 )
 from currantmast.errors import (
     AnswerIncomplete,
+    AnswerTooLarge,
     ExchangeBroken,
     NothingSent,
     ProgressTimeout,
@@ -163,6 +164,7 @@
             return NotRun(Reason.unreachable)
         except ExchangeBroken as error:
             target.note_failure()
+            self._log_oversize(admitted, target, error)
             elapsed_s = self._clock.now() - started
             self._beliefs.placement.note_served(admitted.service, chosen, elapsed_s)
             return OutcomeUnknown(_find_reason(error))
@@ -170,6 +172,19 @@
             target.in_flight -= 1
         return self._judge(admitted, chosen, answer, started)
 
+    def _log_oversize(
+        self, admitted: Admission, target: Target, error: ExchangeBroken
+    ) -> None:
+        if isinstance(error, AnswerTooLarge):
+            self._meter.count_oversize(error.kind)
+            log_event(
+                'answer_too_large',
+                level='WARNING',
+                request=admitted.call.request_id,
+                target=target.record.id,
+                kind=error.kind,
+            )
+
     def _exchange(
         self, inbound: Inbound, admitted: Admission, target: Target
     ) -> Answer:
--- a/currantmast/errors.py
+++ b/currantmast/errors.py
@@ -149,6 +149,20 @@
     """An answer ended before its announced length."""
 
 
+class AnswerTooLarge(AnswerIncomplete):
+    """An answer went beyond a bound, so the rest of it is not read.
+
+    Parameters
+    ----------
+    kind : str
+        What was too large: overhead, headers, interim, foreign, body or memory.
+    """
+
+    def __init__(self, kind: str) -> None:
+        self.kind = kind
+        super().__init__(f'too large: {kind}')
+
+
 class ProgressTimeout(ExchangeBroken):
     """The other end made no progress for longer than the hop allows."""
 
