Let other tasks run while a peer sends without end

Cause: recv of gevent returns at once while there are bytes, so a loop over it never yields, and no timer can fire. The loops over targets' and callers' connections yield after 128 KiB, the one that reads a caller to its end after each part, the one over heartbeats after 64 datagrams.

The new tests play eleven forms of endless bytes, fast and drop by drop, fifty bodies at once and five endless callers, with targets and callers in processes of their own: each ends within its limit + 0.3 s, no other task waits over 0.1 s, memory grows by less than 40 MiB. Not done: the store's client and the product's own interface (runtime/, client), a fuzzed run of the readers, the cost of a request in microseconds.

--- a/currantmast/direct/exchanges.py
+++ b/currantmast/direct/exchanges.py
@@ -47,6 +47,10 @@
 # Bytes of bodies that all exchanges of a process may hold at the same time.
 MAX_HELD_BYTES = 24 * 1024 * 1024
 
+# Bytes after which other tasks run, although the target has sent more.
+TURN_BYTES = 128 * 1024
+FIRST_FINAL_STATUS = 200
+
 
 class Attempt(msgspec.Struct, frozen=True):
     """One request as a target gets it.
@@ -409,12 +413,18 @@
     except ConnectionError:
         # A target may answer before it has read the whole body, and close.
         gevent.sleep(0)
+    turn = 0
     while reader.answer is None:
         received = sock.recv(CHUNK_BYTES)
         if received:
             reader.feed(received)
         else:
             reader.finish()
+        turn += len(received)
+        if turn >= TURN_BYTES:
+            # `recv` returns at once while there are bytes, and no timer could fire.
+            gevent.sleep(0)
+            turn = 0
     return reader.answer
 
 
--- a/currantmast/direct/front.py
+++ b/currantmast/direct/front.py
@@ -34,6 +34,9 @@
 LISTEN_BACKLOG = 512
 MAX_CONNECTIONS = 3000
 
+# Bytes after which other tasks run, although the caller has sent more.
+TURN_BYTES = 128 * 1024
+
 # Requests that a caller may send ahead on one connection.
 MAX_PIPELINED = 8
 
@@ -158,6 +161,7 @@
         return self._busy or bool(self._waiting)
 
     def _read_all(self) -> None:
+        turn = 0
         while not self._finished:
             received = self._receive()
             if received is None:
@@ -165,6 +169,10 @@
             if not received:
                 raise CallerGone('closed')
             self._feed(received)
+            turn += len(received)
+            if turn >= TURN_BYTES:
+                gevent.sleep(0)
+                turn = 0
         self._linger()
 
     def _receive(self) -> bytes | None:
@@ -198,9 +206,8 @@
                 gevent.sleep(LINGER_POLL_S)
         with gevent.Timeout(LINGER_S, CallerGone('linger')):
             self._sock.settimeout(LINGER_S)
-            received = self._sock.recv(CHUNK_BYTES)
-            while received:
-                received = self._sock.recv(CHUNK_BYTES)
+            while self._sock.recv(CHUNK_BYTES):
+                gevent.sleep(0)
         raise CallerGone('answered for the last time')
 
     def _answer_all(self) -> None:
--- a/currantmast/direct/heartbeats.py
+++ b/currantmast/direct/heartbeats.py
@@ -33,6 +33,9 @@
 
 MAX_DATAGRAM_BYTES = 65_536
 
+# Datagrams after which other tasks run, although more have arrived.
+TURN_DATAGRAMS = 64
+
 
 class HeartbeatLink:
     """Owns the datagram socket; a context manager.
@@ -70,8 +73,10 @@
 
     def receive(self) -> None:
         """Take over the heartbeats of the others, for ever."""
-        while True:
+        for received in count(1):
             payload, _ = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
+            if received % TURN_DATAGRAMS == 0:
+                self._clock.sleep(0)
             heartbeat = decode_heartbeat(payload)
             if heartbeat is None:
                 self.rejected += 1
--- /dev/null
+++ b/tests/test_direct_endless.py
@@ -0,0 +1,160 @@
+"""Peers that send without end, beside others that are well."""
+
+import subprocess
+import sys
+import time
+from contextlib import contextmanager
+from pathlib import Path
+
+import gevent
+import pytest
+from endless import FORMS
+from gevent import socket
+
+from currantmast.clocks import BootClock
+from currantmast.direct.exchanges import Attempt, Exchanges
+from currantmast.direct.front import FrontServer
+from currantmast.direct.inbound import Outbound
+from currantmast.direct.model import CallerLimits
+from currantmast.errors import ExchangeBroken
+from currantmast.messages import Address
+
+HERE = Path(__file__).resolve().parent
+LIMIT_S = 1.0
+MOST_GROWTH_BYTES = 40 * 1024 * 1024
+# Longest time for which no other task of the process may run.
+MOST_GAP_S = 0.1
+TICK_S = 0.01
+
+
+def measure_memory():
+    fields = Path('/proc/self/statm').read_text().split()
+    return int(fields[1]) * 4096
+
+
+class Watcher:
+    """Measures how long other tasks had to wait, and the most memory."""
+
+    def __init__(self):
+        self.gap_s = 0.0
+        self.memory = self.before = measure_memory()
+
+    def run(self):
+        last = time.monotonic()
+        while True:
+            gevent.sleep(TICK_S)
+            now = time.monotonic()
+            self.gap_s = max(self.gap_s, now - last - TICK_S)
+            last = now
+            self.memory = max(self.memory, measure_memory())
+
+    def check(self):
+        assert self.gap_s <= MOST_GAP_S
+        assert self.memory - self.before <= MOST_GROWTH_BYTES
+
+
+@contextmanager
+def watch():
+    watcher = Watcher()
+    task = gevent.spawn(watcher.run)
+    gevent.sleep(0)
+    try:
+        yield watcher
+        gevent.sleep(2 * TICK_S)
+    finally:
+        task.kill()
+
+
+@contextmanager
+def open_endless(form, pace):
+    command = [sys.executable, str(HERE / 'endless.py'), form, pace]
+    with subprocess.Popen(command, stdout=subprocess.PIPE) as process:
+        try:
+            yield Address('127.0.0.1', int(process.stdout.readline()))
+        finally:
+            process.kill()
+
+
+def exchange(exchanges, address):
+    attempt = Attempt('GET', '/x', (('Id', '1'),))
+    return exchanges.exchange(
+        't', address, attempt, LIMIT_S, lambda answer: answer.get('id') == '1'
+    )
+
+
+@pytest.mark.parametrize('pace', ['fast', 'drops'])
+@pytest.mark.parametrize('form', list(FORMS))
+def test_answer_without_end_ends_in_time_and_starves_nobody(form, pace):
+    with open_endless(form, pace) as address, Exchanges(BootClock()) as exchanges:
+        with watch() as watcher:
+            started = time.monotonic()
+            with pytest.raises(ExchangeBroken):
+                exchange(exchanges, address)
+            assert time.monotonic() - started <= LIMIT_S + 0.3
+        watcher.check()
+
+
+def test_many_answers_without_end_share_the_memory():
+    """Guards against a bound for each answer that fills a small machine fifty times."""
+    with (
+        open_endless('body with length', 'fast') as address,
+        Exchanges(BootClock()) as exchanges,
+        watch() as watcher,
+    ):
+        tasks = [gevent.spawn(_expect_broken, exchanges, address) for _ in range(50)]
+        gevent.joinall(tasks)
+        assert all(task.value for task in tasks)
+    assert watcher.memory - watcher.before <= MOST_GROWTH_BYTES
+
+
+def _expect_broken(exchanges, address):
+    with pytest.raises(ExchangeBroken):
+        exchange(exchanges, address)
+    return True
+
+
+CALLER = """
+import socket, sys
+sock = socket.create_connection(('127.0.0.1', int(sys.argv[1])))
+sock.sendall(eval(sys.argv[2]))
+try:
+    while True:
+        sock.sendall(eval(sys.argv[3]))
+except OSError:
+    pass
+"""
+
+
+@pytest.mark.parametrize(
+    ('first', 'rest'),
+    [
+        ("b'GET /x HTTP/1.1\\r\\nHost: h\\r\\nX: '", "b'y' * 65536"),
+        ("b'GET /x HTTP/1.1\\r\\n'", "b'X: y\\r\\n' * 5000"),
+        ("b'GET /'", "b'y' * 65536"),
+        ("b'\\x00 nonsense\\r\\n\\r\\n'", "b'y' * 65536"),
+        ("b''", "b'\\r\\n' * 5000"),
+    ],
+)
+def test_request_without_end_is_ended_and_starves_nobody(first, rest):
+    limits = CallerLimits(header_timeout_s=1, idle_s=1)
+    server = FrontServer(
+        Address('127.0.0.1', 0), lambda _: Outbound(200), lambda: limits, BootClock()
+    )
+    with server, watch() as watcher:
+        command = [sys.executable, '-c', CALLER, str(server.address.port), first, rest]
+        with subprocess.Popen(command) as caller:
+            try:
+                deadline = time.monotonic() + 5
+                while caller.poll() is None and time.monotonic() < deadline:
+                    _ask(server.address)
+                    gevent.sleep(TICK_S)
+                assert caller.poll() is not None
+            finally:
+                caller.kill()
+    watcher.check()
+
+
+def _ask(address):
+    with socket.create_connection((address.host, address.port), 1) as sock:
+        sock.sendall(b'GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n')
+        assert sock.recv(100).startswith(b'HTTP/1.1 200')
