Split placement and exchanges by job

What is learned (times of work, round trips, objects) moves to estimates.py, the targets that keep an object to homes.py, the reader of answers with its bounds from exchanges.py to answers.py. The tests of direct steering and of the platform pass.

--- a/currantmast/direct/placement.py
+++ b/currantmast/direct/placement.py
@@ -5,19 +5,17 @@
 work; bursts beyond what all targets can take.
 """
 
-from collections import OrderedDict
 from collections.abc import Iterable
 from enum import Enum
-from functools import lru_cache, partial
-from itertools import chain
 
 import msgspec
-import xxhash
 
 from currantmast.clocks import Clock
 from currantmast.direct.crossings import Crossings
+from currantmast.direct.estimates import Delays, ThingCounts, WorkTimes
+from currantmast.direct.homes import Homes, find_homes, rank_thing
 from currantmast.direct.model import Place
-from currantmast.direct.targets import WARM_OBJECTS, Target
+from currantmast.direct.targets import Target
 
 # Requests that a target may hold for each of its slots, running ones included.
 LOAD_PER_SLOT = 2.0
@@ -36,14 +34,6 @@
 CROSS_REGION_S = 0.06
 CROSS_DOMAIN_S = 0.005
 
-# Time of work in seconds before any answer was seen.
-FIRST_WARM_S = 0.25
-FIRST_COLD_S = 0.8
-WORK_WEIGHT = 0.05
-
-# Work on an object that a target doesn't know takes at least this many times as long.
-LEAST_COLD_FACTOR = 2.0
-
 # Requests by which the known load of a target may lag behind the real one.
 LOAD_LAG = 0.5
 
@@ -51,130 +41,6 @@
 # it is known to forget what others sent.
 KNOWN_PART = 0.4
 
-# Chance that a second target for an object knows it, from earlier overflow.
-SECOND_WARM_PART = 0.5
-
-# Most times that a request may count as longer than expected.
-MOST_STRETCH = 4.0
-
-# Objects that a service is taken to have before as many were seen, and the most that
-# are counted.
-FIRST_THINGS = 24
-MAX_THINGS = 10_000
-
-# Part of what targets can keep that their region's own objects may fill, so that a few
-# strange ones push none of them out.
-KEPT_PART = 0.85
-
-# Copies of all its objects that a region must be able to keep before it gets those of
-# another region, and before each object gets a second target in it.
-COPIES_FOR_OVERFLOW = 2
-COPIES_FOR_SECOND = 4
-
-# Steps of the hash that decides which objects a region keeps.
-HASH_STEPS = 1024
-
-# Delays in seconds before any connection was made.
-NEAR_DELAY_S = 0.002
-FAR_DELAY_S = 0.06
-DELAY_WEIGHT = 0.2
-
-
-class WorkTimes:
-    """Times of work by service: on objects that a target knew, and on others.
-
-    Nobody tells which of the two a run was, so each time counts for the nearer average.
-    """
-
-    __slots__ = ('_stretches', '_times')
-
-    def __init__(self) -> None:
-        self._stretches: dict[str, float] = {}
-        self._times: dict[str, tuple[float, float]] = {}
-
-    def __repr__(self) -> str:
-        """Return the number of averages."""
-        return f'<WorkTimes {len(self._times)}>'
-
-    def get(self, service: str, chance: float) -> float:
-        """Return the expected seconds when the object is known with this chance."""
-        warm_s, cold_s = self._times.get(service, (FIRST_WARM_S, FIRST_COLD_S))
-        return chance * warm_s + (1 - chance) * cold_s
-
-    def was_warm(self, service: str, seconds: float) -> bool:
-        """Return whether a time of work is nearer to that on known objects."""
-        warm_s, cold_s = self._times.get(service, (FIRST_WARM_S, FIRST_COLD_S))
-        return seconds * seconds < warm_s * cold_s
-
-    def note(self, service: str, seconds: float) -> None:
-        """Record the time of one run."""
-        warm_s, cold_s = self._times.get(service, (FIRST_WARM_S, FIRST_COLD_S))
-        if self.was_warm(service, seconds):
-            warm_s += WORK_WEIGHT * (seconds - warm_s)
-        else:
-            cold_s += WORK_WEIGHT * (min(seconds, 2 * cold_s) - cold_s)
-        cold_s = max(cold_s, warm_s * LEAST_COLD_FACTOR)
-        self._times[service] = (warm_s, cold_s)
-
-    def get_stretch(self, service: str) -> float:
-        """Return by how many times requests lately took longer than expected."""
-        return self._stretches.get(service, 1)
-
-    def note_stretch(self, service: str, factor: float) -> None:
-        """Record by how many times one request took longer than expected."""
-        stretch = self.get_stretch(service)
-        bounded = min(MOST_STRETCH, max(1, factor))
-        self._stretches[service] = stretch + WORK_WEIGHT * (bounded - stretch)
-
-
-class ThingCounts:
-    """How many objects each service was asked for."""
-
-    __slots__ = ('_seen',)
-
-    def __init__(self) -> None:
-        self._seen: dict[str, OrderedDict[str, None]] = {}
-
-    def __repr__(self) -> str:
-        """Return the number of services."""
-        return f'<ThingCounts services={len(self._seen)}>'
-
-    def note(self, service: str, thing: str) -> None:
-        """Record that a service was asked for an object."""
-        seen = self._seen.setdefault(service, OrderedDict())
-        seen[thing] = None
-        seen.move_to_end(thing)
-        if len(seen) > MAX_THINGS:
-            seen.popitem(last=False)
-
-    def count(self, service: str) -> int:
-        """Return the number of objects, or more while few are known."""
-        return max(FIRST_THINGS, len(self._seen.get(service, ())))
-
-
-class Delays:
-    """Round trips to the regions, by the time that connections took to open."""
-
-    __slots__ = ('_delays', '_own_region')
-
-    def __init__(self, own_region: str) -> None:
-        self._own_region = own_region
-        self._delays: dict[str, float] = {}
-
-    def __repr__(self) -> str:
-        """Return the delays."""
-        return f'<Delays {self._delays}>'
-
-    def get(self, region: str) -> float:
-        """Return the round trip to `region` in seconds."""
-        near = region == self._own_region
-        return self._delays.get(region, NEAR_DELAY_S if near else FAR_DELAY_S)
-
-    def note(self, region: str, seconds: float) -> None:
-        """Record one round trip."""
-        known = self._delays.get(region, seconds)
-        self._delays[region] = known + DELAY_WEIGHT * (seconds - known)
-
 
 class Need(msgspec.Struct, frozen=True):
     """What a request asks of a target.
@@ -415,7 +281,7 @@
         return self._is_near(option) and (option.chance > 0 or not need.thing)
 
     def _estimate(
-        self, need: Need, target: Target, homes: 'Homes', candidates: int
+        self, need: Need, target: Target, homes: Homes, candidates: int
     ) -> Chosen:
         chance = _estimate_chance(need.thing, target, homes)
         slots = target.record.slots
@@ -459,86 +325,9 @@
         return option.expected_s + crossing_s + trouble_s
 
 
-def _estimate_chance(thing: str, target: Target, homes: 'Homes') -> float:
+def _estimate_chance(thing: str, target: Target, homes: Homes) -> float:
     if not thing:
         return 1
     if target.knows(thing):
         return KNOWN_PART + (1 - KNOWN_PART) * target.history.hits
     return homes.get_chance(target) * target.history.hits
-
-
-class Homes(msgspec.Struct, frozen=True):
-    """The targets that keep an object for the callers of one region.
-
-    All instances of the region compute the same ones, so that all requests for an object
-    meet the same targets; when one comes or goes, only its own objects move.
-
-    Parameters
-    ----------
-    first : frozenset of str
-        The target that is to keep the object.
-    second : frozenset of str
-        Targets that get what the first has no room for.
-    """
-
-    first: frozenset[str] = frozenset()
-    second: frozenset[str] = frozenset()
-
-    def get_chance(self, target: Target) -> float:
-        """Return the chance that `target` knows the object."""
-        if target.record.id in self.first:
-            return 1
-        return SECOND_WARM_PART if target.record.id in self.second else 0
-
-
-def rank_thing(thing: str, region: str) -> float:
-    """Return the rank of an object from 0 to 1; the lowest stay in `region` longest."""
-    return _score(thing, region) % HASH_STEPS / HASH_STEPS
-
-
-def find_homes(
-    thing: str, targets: Iterable[Target], things: int, region: str
-) -> Homes:
-    """Return the targets of `targets` that keep the object `thing`.
-
-    An object has one target in the region of its callers, and one elsewhere for what
-    doesn't fit there. A region whose targets can't keep all objects keeps a part of
-    them, and gets none from other regions.
-
-    Parameters
-    ----------
-    thing : str
-        The object.
-    targets : iterable of Target
-        Targets of one service.
-    things : int
-        Objects that the callers of the region ask the service for.
-    region : str
-        Region of the callers.
-    """
-    regions: dict[str, list[str]] = {}
-    for target in targets:
-        regions.setdefault(target.record.place.region, []).append(target.record.id)
-    near = sorted(regions.pop(region, ()), key=partial(_score, thing))
-    copies = _count_copies(near, things)
-    overflow = _find_overflow(thing, list(regions.values()), things)
-    # A hash decides which objects a region keeps when it can't keep all.
-    if not near or rank_thing(thing, region) >= copies:
-        return Homes(overflow or frozenset(near[:1]))
-    second = near[1:2] if copies >= COPIES_FOR_SECOND else []
-    return Homes(frozenset(near[:1]), overflow.union(second))
-
-
-def _find_overflow(thing: str, far: list[list[str]], things: int) -> frozenset[str]:
-    roomy = [ids for ids in far if _count_copies(ids, things) >= COPIES_FOR_OVERFLOW]
-    ids = chain.from_iterable(roomy or far)
-    return frozenset(sorted(ids, key=partial(_score, thing))[:1])
-
-
-def _count_copies(ids: list[str], things: int) -> float:
-    return len(ids) * WARM_OBJECTS * KEPT_PART / max(1, things)
-
-
-@lru_cache(maxsize=65_536)
-def _score(thing: str, target_id: str) -> int:
-    return xxhash.xxh3_64_intdigest(f'{thing}|{target_id}'.encode())
--- a/currantmast/direct/requests.py
+++ b/currantmast/direct/requests.py
@@ -5,7 +5,8 @@
 
 import msgspec
 
-from currantmast.direct.exchanges import Answer, Attempt
+from currantmast.direct.answers import Answer
+from currantmast.direct.exchanges import Attempt
 from currantmast.direct.inbound import Inbound, Outbound
 from currantmast.direct.targets import Load
 
--- a/currantmast/direct/steering.py
+++ b/currantmast/direct/steering.py
@@ -4,8 +4,9 @@
 from types import MappingProxyType
 
 from currantmast.clocks import Clock
+from currantmast.direct.answers import Answer
 from currantmast.direct.beliefs import Beliefs
-from currantmast.direct.exchanges import Answer, Exchanges
+from currantmast.direct.exchanges import Exchanges
 from currantmast.direct.inbound import Inbound, Outbound
 from currantmast.direct.model import Route, Team
 from currantmast.direct.placement import Chosen, NoRoom
--- a/currantmast/direct/tries.py
+++ b/currantmast/direct/tries.py
@@ -4,8 +4,8 @@
 
 from currantmast.clocks import Clock
 from currantmast.decisions.retries import conclude
+from currantmast.direct.answers import Answer
 from currantmast.direct.beliefs import Beliefs
-from currantmast.direct.exchanges import Answer
 from currantmast.direct.model import Configuration, Route, Service, Team
 from currantmast.direct.placement import Chosen, Need, NoRoom
 from currantmast.direct.requests import Call, TargetAnswer
--- a/currantmast/platform/wire.py
+++ b/currantmast/platform/wire.py
@@ -5,7 +5,8 @@
 
 import msgspec
 
-from currantmast.direct.exchanges import Answer, Attempt
+from currantmast.direct.answers import Answer
+from currantmast.direct.exchanges import Attempt
 from currantmast.direct.inbound import CONNECTION_HEADERS, Inbound, Outbound
 from currantmast.direct.requests import Call, Given, LookupQuery, Shed, TargetAnswer
 from currantmast.direct.targets import Load
--- a/tests/test_direct_placement.py
+++ b/tests/test_direct_placement.py
@@ -6,13 +6,13 @@
 
 from currantmast.clocks import ManualClock
 from currantmast.direct.crossings import measure_rooms
+from currantmast.direct.homes import find_homes
 from currantmast.direct.model import InstanceRecord, Place, TargetRecord
 from currantmast.direct.placement import (
     Chosen,
     Need,
     NoRoom,
     Placement,
-    find_homes,
 )
 from currantmast.direct.targets import Target
 from currantmast.messages import Address
--- a/tests/test_direct_steering.py
+++ b/tests/test_direct_steering.py
@@ -3,8 +3,8 @@
 import pytest
 
 from currantmast.clocks import ManualClock
+from currantmast.direct.answers import Answer
 from currantmast.direct.beliefs import Beliefs
-from currantmast.direct.exchanges import Answer
 from currantmast.direct.inbound import Inbound
 from currantmast.direct.meters import Meter
 from currantmast.direct.model import (
