--- a/tests/integration/test_platform.py
+++ b/tests/integration/test_platform.py
@@ -1,10 +1,13 @@
 """Real instances on a stand-in of the users' platform."""
 
 import signal
+from contextlib import ExitStack
 
 import gevent
 import pytest
+from test_direct_endless import MOST_GROWTH_BYTES, open_endless
 
+from currantmast.experiment.usage import read_memory_mb
 from currantmast.standins.platformfleet import KEYS, PlatformFleet
 
 RATE = 60
@@ -111,3 +114,32 @@
     assert count_failed(tally) == 0
     assert sum(target.tenants.values()) == before
     fleet.store.put('servers', target.plan.id, target.describe())
+
+
+def test_targets_that_send_without_end_cost_nobody_else(fleet):
+    """Guards against a target whose bytes starve an instance or fill its memory."""
+    forms = ('header lines', 'interim answers', 'body without length')
+    before = {name: known.pid for name, known in fleet.instances.items()}
+    memory = {name: read_memory_mb(pid) for name, pid in before.items()}
+    logs = {name: len(known.read_output()) for name, known in fleet.instances.items()}
+    with ExitStack() as stack:
+        for number, form in enumerate(forms):
+            address = stack.enter_context(open_endless(form, 'fast'))
+            entry = fleet.targets[0].describe() | {'addr': str(address)}
+            fleet.store.put('servers', f'endless-{number}', entry)
+        gevent.sleep(1)
+        fleet.load(RATE, 3)
+        fleet.tally.statuses.clear()
+        tally = fleet.load(RATE, 3)
+        for name, pid in before.items():
+            growth = read_memory_mb(pid) - memory[name]
+            assert growth * 1e6 <= MOST_GROWTH_BYTES
+        for number in range(len(forms)):
+            fleet.store.remove('servers', f'endless-{number}')
+    written = [
+        known.read_output()[logs[name] :] for name, known in fleet.instances.items()
+    ]
+    assert any('event=answer_too_large' in text for text in written)
+    assert not any('event=member_silent' in text for text in written)
+    # Few requests still meet one before it is ejected, or after it was probed.
+    assert tally.statuses[200] >= 0.97 * sum(tally.statuses.values())
--- /dev/null
+++ b/tests/test_direct_readers.py
@@ -0,0 +1,77 @@
+"""The readers of answers and requests, fed with any bytes in any pieces."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as some
+
+from currantmast.clocks import ManualClock
+from currantmast.direct.answers import (
+    MAX_BODY_BYTES,
+    MAX_HELD_BYTES,
+    AnswerReader,
+    HeldBytes,
+)
+from currantmast.direct.inbound import Inbound, RequestReader, RequestRejected
+from currantmast.direct.model import CallerLimits
+from currantmast.errors import ExchangeBroken
+
+PIECES = (
+    b'HTTP/1.1 200 OK\r\n',
+    b'HTTP/1.1 102 Processing\r\n\r\n',
+    b'GET /x HTTP/1.1\r\n',
+    b'POST /x HTTP/1.1\r\n',
+    b'Content-Length: 3\r\n',
+    b'Content-Length: 99999999999\r\n',
+    b'Transfer-Encoding: chunked\r\n',
+    b'Expect: 100-continue\r\n',
+    b'Id: 1\r\n',
+    b'X: ' + b'y' * 30_000,
+    b'X: y\r\n' * 400,
+    b'\r\n',
+    b'abc',
+    b'3\r\nabc\r\n',
+    b'0\r\n\r\n',
+    b'3;' + b'y' * 70_000,
+    b'z' * 300_000,
+)
+STREAMS = some.lists(some.sampled_from(PIECES) | some.binary(max_size=20), max_size=60)
+
+
+class Silent:
+    """A socket that takes everything."""
+
+    def sendall(self, sent):
+        """Forget what was sent."""
+
+
+@settings(max_examples=300, deadline=None)
+@given(STREAMS)
+def test_any_bytes_of_a_target_keep_the_bounds_or_end_with_a_typed_error(stream):
+    held = HeldBytes()
+    reader = AnswerReader(lambda answer: answer.get('id') == '1', 0, held)
+    try:
+        for piece in stream:
+            reader.feed(piece)
+            assert held.count <= min(MAX_HELD_BYTES, MAX_BODY_BYTES)
+        reader.finish()
+    except ExchangeBroken:
+        assert not reader.is_clean()
+    reader.release()
+    assert held.count == 0
+
+
+@settings(max_examples=300, deadline=None)
+@given(STREAMS)
+def test_any_bytes_of_a_caller_become_requests_or_one_rejection(stream):
+    limits = CallerLimits(body_bytes=400_000)
+    reader = RequestReader(Silent(), limits, ManualClock(0))
+    for piece in stream:
+        if not reader.feed(piece):
+            break
+    for found in reader.complete:
+        assert isinstance(found, Inbound | RequestRejected)
+        if isinstance(found, Inbound):
+            assert len(found.body) <= limits.body_bytes
+    rejections = [
+        found for found in reader.complete if isinstance(found, RequestRejected)
+    ]
+    assert len(rejections) <= 1
