--- a/currantmast/experiment/httpslopes.py
+++ b/currantmast/experiment/httpslopes.py
@@ -21,7 +21,7 @@
 )
 from currantmast.experiment.usage import read_cpu_s, read_memory_mb
 from currantmast.messages import Address
-from currantmast.publication import _page_encoder, decode_pages, list_pages
+from currantmast.pages import decode_pages, encode_page, list_pages
 from currantmast.runtime.publicapp import PublicApp
 from currantmast.runtime.servers import Answer, HttpServer, Inbound
 from currantmast.steering import Steering
@@ -63,7 +63,7 @@
         self._steering = steering
         self._app = PublicApp(steering, None, int)
         pages = list_pages(make_deployment(blocks))
-        self._pages = [_page_encoder.encode(page) for page in pages]
+        self._pages = [encode_page(page) for page in pages]
 
     def __repr__(self) -> str:
         """Return the number of pages."""
--- a/currantmast/experiment/tableslopes.py
+++ b/currantmast/experiment/tableslopes.py
@@ -15,15 +15,14 @@
     make_steering,
 )
 from currantmast.experiment.usage import Usage, measure_step, read_memory_mb
-from currantmast.publication import (
-    Head,
-    PageReference,
-    _page_encoder,
+from currantmast.pages import (
     decode_configuration,
     decode_pages,
     encode_configuration,
+    encode_page,
     list_pages,
 )
+from currantmast.publication import Head, PageReference
 from currantmast.steering import Steering
 
 Row = list[float]
@@ -174,7 +173,7 @@
 
 def _measure_pages(deployment: Deployment, members: int) -> Row:
     encoded = measure_step(
-        lambda: [_page_encoder.encode(page) for page in list_pages(deployment)]
+        lambda: [encode_page(page) for page in list_pages(deployment)]
     )
     bodies = encoded.outcome
     decoded = measure_step(lambda: decode_pages(bodies))
--- a/currantmast/runtime/followers.py
+++ b/currantmast/runtime/followers.py
@@ -14,10 +14,8 @@
     WatchExpired,
 )
 from currantmast.messages import Address
-from currantmast.publication import (
-    ConfigurationReader,
-    decode_configuration,
-)
+from currantmast.pages import decode_configuration
+from currantmast.publication import ConfigurationReader
 from currantmast.runtime.fleet import FLEET, FleetStore, decode_record
 from currantmast.runtime.forwarding import Connections, HopRequest
 from currantmast.runtime.logs import log_event
--- a/currantmast/runtime/peerapp.py
+++ b/currantmast/runtime/peerapp.py
@@ -6,7 +6,7 @@
 
 from currantmast.decisions.links import LinkReservation
 from currantmast.outcomes import NotRun, Reason
-from currantmast.publication import encode_configuration
+from currantmast.pages import encode_configuration
 from currantmast.runtime.answers import make_answer
 from currantmast.runtime.claimdesks import ClaimDesk
 from currantmast.runtime.hops import HEAD_BYTES, LINK_POLL_S
--- a/tests/test_publication.py
+++ b/tests/test_publication.py
@@ -4,7 +4,7 @@
 import pytest
 from samples import BASE, SHIFT, SITES, MemoryStore, alter, make_deployment
 
-from currantmast import publication
+from currantmast import pages, publication
 from currantmast.blocks import BlockTable
 from currantmast.deployment import Configuration, Deployment, Shift, Site
 from currantmast.errors import (
@@ -40,8 +40,8 @@
     assert found.deployment.base == make_deployment().base
     table = BlockTable.from_sites(found.deployment.sites)
     assert table.find('198.51.100.9') == 'shore'
-    sent = publication.encode_configuration(found)
-    assert publication.decode_configuration(sent) == found
+    sent = pages.encode_configuration(found)
+    assert pages.decode_configuration(sent) == found
 
 
 def test_nothing_published_is_a_typed_error(store):
@@ -197,7 +197,7 @@
 
 def test_configuration_of_a_peer_that_is_damaged_is_rejected():
     with pytest.raises(ConfigurationDamaged):
-        publication.decode_configuration(msgspec.msgpack.encode({'version': 1}))
-    sent = publication.encode_configuration(Configuration(1, make_deployment()))
+        pages.decode_configuration(msgspec.msgpack.encode({'version': 1}))
+    sent = pages.encode_configuration(Configuration(1, make_deployment()))
     with pytest.raises(ConfigurationDamaged):
-        publication.decode_configuration(sent[:-1])
+        pages.decode_configuration(sent[:-1])
