Take a call that fails late for no new outage of the store

Cause: the time in which lapsed entries may return counts from the store's recovery, and a call that was sent before the recovery and timed out 1.3 s after it began that time anew. Evidence: edge-fife-cupar-2 regained the configuration at 13.14 and targets at 14.45, dropped the target at 16.66 and sent the request at 16.39; its three fellows, whose calls failed in time, dropped it at 15.45 to 15.49. Now a failure counts from the sending of its call. The new test fails without the change.

--- a/currantmast/direct/following.py
+++ b/currantmast/direct/following.py
@@ -129,8 +129,13 @@
         """Return whether the store answers."""
         return f'<StoreHealth answers={self._answers.is_set()}>'
 
-    def note_failure(self) -> None:
-        """Record a call without a sound answer."""
+    def note_failure(self, sent_at: float) -> None:
+        """Record a call without a sound answer, by the time at which it was sent.
+
+        One that was sent before the store answered again tells nothing of it since.
+        """
+        if sent_at < self.recovered_at:
+            return
         self.failed_at = self._clock.now()
         self._answers.clear()
 
@@ -228,7 +233,7 @@
             self._revision = None
             return 0
         except StoreError as error:
-            return self._note_failure(error)
+            return self._note_failure(error, sent_at)
         self._note_success()
         whole = self._revision is None
         self._revision = news.revision
@@ -302,8 +307,8 @@
             log_event('entry_gone', topic=self.topic.value, name=name, cause=cause)
         self._subscriber.remove(name)
 
-    def _note_failure(self, error: StoreError) -> float:
-        self._health.note_failure()
+    def _note_failure(self, error: StoreError, sent_at: float) -> float:
+        self._health.note_failure(sent_at)
         if not self._lost:
             log_event(
                 'store_lost', level='WARNING', topic=self.topic.value, error=error
--- a/tests/test_direct_following.py
+++ b/tests/test_direct_following.py
@@ -171,6 +171,37 @@
     assert not world.table.kept
 
 
+class SlowFailure:
+    """A store whose call was sent before the recovery and times out after it."""
+
+    def __init__(self, world):
+        self.world = world
+
+    def list_all(self, topic):
+        self.world.clock.advance(0.1)
+        self.world.health.note_success()
+        self.world.clock.advance(1.3)
+        raise DOWN
+
+
+def test_call_that_times_out_after_the_recovery_is_no_new_outage():
+    """Guards against a leaving target that is used long after a partition has healed.
+
+    Found by a hunted day (scale-2 of glenbrae-mast, seed 484698024239): a call from
+    before the recovery timed out 1.3 s after it, and the time to return began anew.
+    """
+    world = World()
+    world.play(News(5, (put('a'),)), DOWN)
+    world.clock.advance(10)
+    other = Follower(
+        Topic.instances, SlowFailure(world), Table(), world.clock, world.health
+    )
+    other.step()
+    world.play(WatchExpired(''), News(8, ()), pause_s=0.5)
+    world.play(CALM)
+    assert not world.table.kept
+
+
 def record_waits(world):
     waits = []
     original = world.source.watch
