Load only what an instance on the platform uses at its start

The package imported the product's client, the command line, loguru (asyncio), the Prometheus client (http.server) and geventhttpclient (urllib.request, cookiejar). Ruled out: gevent, msgspec and httptools, which are used from the first request on.

--- a/currantmast/direct/process.py
+++ b/currantmast/direct/process.py
@@ -1,6 +1,6 @@
 """Process of one instance: its servers and tasks, its start and its planned stop."""
 
-import secrets
+import os
 import signal
 from collections.abc import Callable
 from contextlib import ExitStack
@@ -85,7 +85,7 @@
         self._store = adapter.open_store(settings)
         own = InstanceRecord(
             settings.id,
-            secrets.token_hex(INCARNATION_BYTES),
+            os.urandom(INCARNATION_BYTES).hex(),
             settings.location,
             settings.public,
             settings.peer,
--- a/currantmast/direct/spillover.py
+++ b/currantmast/direct/spillover.py
@@ -10,7 +10,6 @@
 
 from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence
-from statistics import fmean
 
 import msgspec
 
@@ -204,7 +203,7 @@
                 _compute_preferred((own, *peers)), MAX_SHARE_CHANGE_PER_S * step_s
             )
         elif peers:
-            self.share = fmean(report.share for report in peers)
+            self.share = sum(report.share for report in peers) / len(peers)
         else:
             self.share = capacity.initial_share
         self._apply_slot_loss(capacity.local_slots, step_s)
--- a/currantmast/platform/adapter.py
+++ b/currantmast/platform/adapter.py
@@ -3,6 +3,7 @@
 import sys
 from pathlib import Path
 
+from currantmast.clocks import BootClock
 from currantmast.direct.model import DirectSettings
 from currantmast.direct.process import run_direct
 from currantmast.platform import wire
@@ -44,7 +45,7 @@
     def open_store(self, settings: DirectSettings) -> ObjectStore:
         """Return a client of the store, and configure the decoders of its objects."""
         configure_regions(settings.regions)
-        return ObjectStore(settings.store)
+        return ObjectStore(settings.store, BootClock())
 
 
 def run_platform(boot: str | None = None) -> int:
--- a/currantmast/platform/store.py
+++ b/currantmast/platform/store.py
@@ -7,6 +7,9 @@
 
 import msgspec
 
+from currantmast.clocks import Clock
+from currantmast.direct.answers import Answer
+from currantmast.direct.exchanges import TargetConnections, TargetRequest
 from currantmast.direct.following import Entry, StoreUpdate, Topic
 from currantmast.direct.model import InstanceRecord
 from currantmast.errors import (
@@ -17,7 +20,6 @@
     TransportError,
     WatchExpired,
 )
-from currantmast.exchange import Request, Response, SingleSendClient, exchange
 from currantmast.messages import Address
 from currantmast.platform.documents import DECODERS, encode_instance
 
@@ -26,6 +28,9 @@
 # Time that a watch may take to answer beyond its requested wait.
 WATCH_MARGIN_S = 0.6
 
+# Connections that carry writes.
+WRITES = 'writes'
+
 OBJECT_KINDS = MappingProxyType(
     {
         Topic.configuration: 'config',
@@ -43,13 +48,15 @@
     ----------
     address : Address
         Address of the store.
+    clock : Clock
+        Source of time.
     """
 
-    __slots__ = ('_address', '_clients', 'call_count')
+    __slots__ = ('_address', '_connections', 'call_count')
 
-    def __init__(self, address: Address) -> None:
+    def __init__(self, address: Address, clock: Clock) -> None:
         self._address = address
-        self._clients: dict[object, SingleSendClient] = {}
+        self._connections = TargetConnections(clock)
         self.call_count = 0
 
     def __repr__(self) -> str:
@@ -130,7 +137,7 @@
         path = f'/objects/{OBJECT_KINDS[topic]}'
         if query:
             path = f'{path}?{urlencode(query)}'
-        answer = self._send(topic, Request('GET', path, {}), timeout_s)
+        answer = self._send(topic.value, 'GET', path, timeout_s=timeout_s)
         if answer.status == HTTPStatus.GONE:
             raise WatchExpired(f'{topic.value}: {query}')
         _raise_for_status(answer)
@@ -142,37 +149,37 @@
             raise StoreUnavailable('the answer is not a JSON object')
         return page
 
-    def _call(self, method: str, path: str, body: bytes = b'') -> Response:
-        headers = {'Content-Type': 'application/json'} if body else {}
+    def _call(self, method: str, path: str, body: bytes = b'') -> Answer:
         try:
-            return self._send(
-                'writes', Request(method, path, headers, body), CALL_TIMEOUT_S
-            )
+            return self._send(WRITES, method, path, body)
         except StoreUnavailable as error:
             raise StoreOutcomeUnknown(f'{method} {path}: {error}') from error
 
-    def _send(self, channel: object, request: Request, timeout_s: float) -> Response:
-        client = self._clients.get(channel)
-        if client is None:
-            client = SingleSendClient(
-                self._address.host,
-                self._address.port,
-                connection_timeout=CALL_TIMEOUT_S,
-                # A watch receives nothing while it waits; `exchange` limits the call.
-                network_timeout=None,
-                concurrency=2,
-            )
-            self._clients[channel] = client
+    def _send(
+        self,
+        channel: str,
+        method: str,
+        path: str,
+        body: bytes = b'',
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> Answer:
+        headers = (
+            ('Host', str(self._address)),
+            ('Content-Type', 'application/json'),
+        )
+        request = TargetRequest(method, path, headers, body)
         self.call_count += 1
         try:
-            return exchange(client, request, timeout_s)
+            return self._connections.exchange(
+                channel, self._address, request, timeout_s, lambda _: True
+            )
         except TransportError as error:
             # Other pooled connections to the store may be dead as well.
-            self._clients.pop(channel).close()
+            self._connections.close_idle(channel)
             raise StoreUnavailable(str(error)) from error
 
 
-def _raise_for_status(answer: Response) -> None:
+def _raise_for_status(answer: Answer) -> None:
     if answer.status == HTTPStatus.CONFLICT:
         raise StoreConflict('object', 0)
     if answer.status == HTTPStatus.NOT_FOUND:
--- a/currantmast/runtime/logbuffers.py
+++ b/currantmast/runtime/logbuffers.py
@@ -2,14 +2,12 @@
 
 import os
 from collections import deque
-from typing import TYPE_CHECKING, Self
+from itertools import count
+from typing import Self
 
 import gevent
 from gevent.greenlet import Greenlet
 
-if TYPE_CHECKING:
-    from loguru import Message
-
 # Lines kept while the output takes none: routine ones, and warnings and worse, which
 # therefore outlive a flood of routine ones.
 MAX_ROUTINE = 4000
@@ -17,7 +15,6 @@
 
 FLUSH_PERIOD_S = 0.1
 CHUNK_BYTES = 65_536
-WARNING_NUMBER = 30
 
 
 class LogBuffer:
@@ -33,11 +30,21 @@
         File descriptor of the output; it is made non-blocking.
     """
 
-    __slots__ = ('_descriptor', '_important', '_pending', '_routine', '_task', 'lost')
+    __slots__ = (
+        '_descriptor',
+        '_important',
+        '_numbers',
+        '_pending',
+        '_routine',
+        '_task',
+        'lost',
+    )
 
     def __init__(self, descriptor: int) -> None:
         os.set_blocking(descriptor, False)
         self._descriptor = descriptor
+        # Numbers the lines, so that they are written in the order in which they came.
+        self._numbers = count()
         self._routine: deque[tuple[int, str]] = deque()
         self._important: deque[tuple[int, str]] = deque()
         self._pending = b''
@@ -60,14 +67,13 @@
         kept = len(self._routine) + len(self._important)
         return f'<LogBuffer kept={kept} lost={self.lost}>'
 
-    def write(self, message: 'Message') -> None:
-        """Keep one line; the sink of loguru."""
-        record = message.record
-        line = (record['time'].timestamp(), str(message))
-        if record['level'].no >= WARNING_NUMBER:
-            self._keep(self._important, MAX_IMPORTANT, line)
+    def write(self, line: str, *, important: bool) -> None:
+        """Keep one line; important ones are kept apart from a flood of others."""
+        numbered = (next(self._numbers), f'{line}\n')
+        if important:
+            self._keep(self._important, MAX_IMPORTANT, numbered)
         else:
-            self._keep(self._routine, MAX_ROUTINE, line)
+            self._keep(self._routine, MAX_ROUTINE, numbered)
 
     def flush(self) -> None:
         """Write as much as the output takes now."""
@@ -82,7 +88,7 @@
             gevent.sleep(FLUSH_PERIOD_S)
             self.flush()
 
-    def _keep(self, lines: deque, most: int, line: tuple[float, str]) -> None:
+    def _keep(self, lines: deque, most: int, line: tuple[int, str]) -> None:
         if len(lines) >= most:
             lines.popleft()
             self.lost += 1
--- a/currantmast/runtime/logs.py
+++ b/currantmast/runtime/logs.py
@@ -5,10 +5,10 @@
 import sys
 from datetime import UTC, datetime
 from enum import StrEnum
+from types import MappingProxyType
 from typing import TextIO
 
 import msgspec
-from loguru import logger
 
 from currantmast.errors import SecretRejected
 from currantmast.messages import Address
@@ -22,10 +22,19 @@
 _PLAIN = re.compile(r'[\w.:/@+<>,*-]+\Z', re.ASCII)
 
 
+# Levels by rank, the least important first.
+LEVELS = MappingProxyType({'DEBUG': 0, 'INFO': 1, 'WARNING': 2, 'ERROR': 3})
+
+
 class LogContext(msgspec.Struct):
-    """Fields that every line of this process carries."""
+    """The field that every line of this process carries, and where lines go.
+
+    Without a `stream` lines go to the standard error stream.
+    """
 
     instance: str = '-'
+    stream: TextIO | LogBuffer | None = None
+    level: str = 'INFO'
 
 
 _context = LogContext()
@@ -46,15 +55,8 @@
         Least level that is written.
     """
     _context.instance = instance
-    logger.remove()
-    logger.add(
-        stream.write if isinstance(stream, LogBuffer) else stream or sys.stderr,
-        format='{message}',
-        level=level,
-        colorize=False,
-        backtrace=False,
-        diagnose=False,
-    )
+    _context.stream = stream
+    _context.level = level
 
 
 def log_event(event: str, *, level: str = 'INFO', **fields: LogValue) -> None:
@@ -65,7 +67,7 @@
     event : str
         Name of the event.
     level : str
-        Level of loguru.
+        One of `LEVELS`.
     **fields
         Values of plain types. Objects that could hold a caller's key are refused.
 
@@ -76,7 +78,13 @@
         type that is not a plain value (such as `CallerKey`).
     """
     line = format_event(event, level, **fields)
-    logger.log(level, '{}', line)
+    if LEVELS[level] < LEVELS[_context.level]:
+        return
+    stream = _context.stream
+    if isinstance(stream, LogBuffer):
+        stream.write(line, important=LEVELS[level] >= LEVELS['WARNING'])
+    else:
+        (stream or sys.stderr).write(f'{line}\n')
 
 
 def format_event(event: str, level: str, **fields: LogValue) -> str:
--- a/tests/test_direct_logs.py
+++ b/tests/test_direct_logs.py
@@ -4,7 +4,6 @@
 import re
 
 import pytest
-from loguru import logger
 from test_direct_steering import (
     LOCAL,
     OK,
@@ -37,6 +36,7 @@
 from currantmast.errors import StoreUnavailable, WatchExpired
 from currantmast.messages import Address
 from currantmast.outcomes import NotRun, OutcomeUnknown, Reason
+from currantmast.runtime.logs import configure_logs
 
 ADDRESS = Address('127.0.0.1', 1)
 
@@ -44,9 +44,9 @@
 @pytest.fixture
 def output():
     stream = io.StringIO()
-    handler = logger.add(stream, format='{message} {extra}', level='DEBUG')
+    configure_logs('-', stream, 'DEBUG')
     yield stream
-    logger.remove(handler)
+    configure_logs('-')
 
 
 def list_events(output):
--- a/tests/test_logbuffers.py
+++ b/tests/test_logbuffers.py
@@ -3,7 +3,6 @@
 import os
 
 import pytest
-from loguru import logger
 
 from currantmast.runtime.logbuffers import MAX_IMPORTANT, MAX_ROUTINE, LogBuffer
 from currantmast.runtime.logs import configure_logs, log_event
@@ -16,7 +15,7 @@
     buffer = LogBuffer(writer)
     configure_logs('i1', stream=buffer)
     yield reader, writer, buffer
-    logger.remove()
+    configure_logs('-')
     for descriptor in (reader, writer):
         try:
             os.close(descriptor)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -3,6 +3,7 @@
 import gevent
 import pytest
 
+from currantmast.clocks import BootClock
 from currantmast.direct.following import InvalidEntry, Topic
 from currantmast.direct.model import InstanceRecord, Location
 from currantmast.errors import StoreOutcomeUnknown, StoreUnavailable, WatchExpired
@@ -36,7 +37,7 @@
 
 @pytest.fixture
 def client(standin):
-    return ObjectStore(standin.address)
+    return ObjectStore(standin.address, BootClock())
 
 
 def test_list_reads_all_pages(standin, client):
