Answer what has arrived when a stop begins to refuse, and doubt refusals without an id

Now the queue is accepted before the listener closes, a connection with unread bytes stays open, and the process waits for requests that are still arriving. - A late copy of a refusal without the id of its request, on a connection in use again, was taken for the next request's own refusal; that request would have run twice. Now such a refusal counts only on a new connection. Late copies with an id were refused already; a test plays them after the next request was sent, whole and in two parts.

--- a/currantmast/direct/front.py
+++ b/currantmast/direct/front.py
@@ -14,6 +14,7 @@
 import gevent
 from gevent.event import Event
 from gevent.greenlet import Greenlet
+from gevent.select import select
 from gevent.server import StreamServer
 from gevent.socket import socket as Socket
 
@@ -111,12 +112,24 @@
         self.closing = True
 
     def stop_accepting(self) -> None:
-        """Close the listener and the connections that have no request."""
+        """Close the listener and the connections that have no request.
+
+        Connections that wait in the listener's queue are accepted first, and those with
+        unread bytes stay open, since these may be requests.
+        """
         self.closing = True
+        for sock, remote in iter(self._server.do_read, None):
+            gevent.spawn(self._serve, sock, remote)
         self._server.close()
+        # Lets the new connections read what has arrived.
+        gevent.sleep(0)
         for connection in tuple(self._connections):
             connection.close_if_idle()
 
+    def has_pending_requests(self) -> bool:
+        """Return whether a request is being received or answered."""
+        return any(connection.is_busy() for connection in self._connections)
+
     def _serve(self, sock: Socket, remote: tuple[str, int]) -> None:
         sock.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
         connection = _Connection(self, sock)
@@ -157,10 +170,19 @@
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request has started to arrive."""
-        if not self._has_pending_requests() and self._reader.started_at is None:
+        if not self.is_busy():
             self._finished = True
             self._sock.shutdown(SHUT_RDWR)
 
+    def is_busy(self) -> bool:
+        """Return whether a request has started to arrive, or isn't answered yet."""
+        if self._finished:
+            return False
+        if self._has_pending_requests() or self._reader.started_at is not None:
+            return True
+        readable, _, _ = select([self._sock], [], [], 0)
+        return bool(readable)
+
     def _has_pending_requests(self) -> bool:
         return self._busy or bool(self._pending)
 
--- a/currantmast/direct/process.py
+++ b/currantmast/direct/process.py
@@ -291,7 +291,7 @@
         front.stop_accepting()
         self._remove_member(self._settings.id)
         while (
-            front.active_requests
+            front.has_pending_requests()
             and self._clock.now() - started_at < grace_s * EXIT_FRACTION
         ):
             self._clock.sleep(STOP_POLL_INTERVAL_S)
--- a/currantmast/platform/wire.py
+++ b/currantmast/platform/wire.py
@@ -77,11 +77,12 @@
     """Return whether an answer belongs to the request with this id.
 
     The id may be missing from a refusal, but not from an answer with a server stamp,
-    which a target sets when it has run a request.
+    which a target sets when it has run a request. On a connection that was used before,
+    a refusal without the id may be a late copy of one to an earlier request.
     """
     echoed = answer.get(REQUEST_ID)
     if echoed is None:
-        return answer.get(STAMP) is None
+        return answer.connect_s > 0 and answer.get(STAMP) is None
     return echoed == request_id
 
 
--- a/tests/test_direct_exchanges.py
+++ b/tests/test_direct_exchanges.py
@@ -150,3 +150,19 @@
         send(target, '1')
         send(target, '2')
     assert target.connections == 2
+
+
+@pytest.mark.parametrize('delay_s', [0.0, 0.02, 0.2])
+@pytest.mark.parametrize('split', [0, 25])
+def test_late_second_copy_never_answers_the_next_request(delay_s, split):
+    """Guards against a copy that arrives after the next request was sent."""
+    copy = make_answer('1', b'copy')
+    late = [delay_s, copy[:split], delay_s, copy[split:]]
+    own = make_answer('2', b'two')
+    with open_target([make_answer('1')], [*late, own], [make_answer('3')]) as target:
+        send(target, '1')
+        assert send(target, '2').body == b'two'
+        assert target.connections == 1
+        # What else may come on that connection is not waited for.
+        send(target, '3')
+        assert target.connections == 2
--- a/tests/test_direct_front.py
+++ b/tests/test_direct_front.py
@@ -1,5 +1,6 @@
 """HTTP server for callers: framing, limits, disconnects and shutdown."""
 
+import socket as std_socket
 from contextlib import contextmanager
 
 import gevent
@@ -140,3 +141,42 @@
     with open_front(fail) as server, connect(server) as sock:
         sock.sendall(b'GET /a HTTP/1.1\r\nHost: h\r\n\r\n')
         assert sock.recv(65_536).startswith(b'HTTP/1.1 502')
+
+
+REQUEST = b'GET /a HTTP/1.1\r\nHost: h\r\n\r\n'
+
+
+def test_stop_answers_requests_that_have_arrived_and_were_not_read():
+    """Guards against a planned stop under load that cuts off what was just accepted.
+
+    One request stands on a kept connection, one on a connection that waits in the
+    listener's queue. Neither has been read when the stop closes what is idle.
+    """
+    with open_front(echo) as server, connect(server) as kept:
+        kept.sendall(REQUEST)
+        assert kept.recv(65_536)
+        waiting = std_socket.create_connection(
+            (server.address.host, server.address.port), 2
+        )
+        waiting.sendall(REQUEST)
+        # Sent without a switch to the server's tasks.
+        std_socket.socket.sendall(kept._sock, REQUEST)
+        server.stop_accepting()
+        for sock in (kept, waiting):
+            gevent.sleep(0.2)
+            sock.settimeout(2)
+            assert sock.recv(65_536).startswith(b'HTTP/1.1 200')
+        waiting.close()
+
+
+def test_request_that_is_still_arriving_counts_as_pending_in_a_stop():
+    """Guards against a process that ends while it reads a request."""
+    with open_front(echo) as server, connect(server) as sock:
+        sock.sendall(REQUEST[:20])
+        gevent.sleep(0.05)
+        server.stop_accepting()
+        assert server.has_pending_requests()
+        sock.sendall(REQUEST[20:])
+        assert read_all(sock).startswith(b'HTTP/1.1 200')
+        gevent.sleep(0.05)
+        assert not server.has_pending_requests()
