Look up routes by prefix, and list targets without going over all of them

Change: a table by host and prefix is asked once for each slash of the path, up to the longest prefix; targets are put into and taken out of the index of their service. Placement.choose at 215 targets takes 1.8 ms (one process, loaded machine), still in proportion to the targets: open.

--- a/currantmast/direct/configurations.py
+++ b/currantmast/direct/configurations.py
@@ -8,31 +8,39 @@
 class RouteTable:
     """Finds routes by host and longest path prefix.
 
+    Every prefix ends with a slash, so only the parts of a path up to a slash are looked
+    up. A match costs in proportion to the slashes of the path, not to the routes.
+
     Parameters
     ----------
     routes : iterable of Route
-        All routes of one configuration.
+        All routes of one configuration. Of two with the same host and prefix, the first
+        counts.
     """
 
-    __slots__ = ('_by_host',)
+    __slots__ = ('_by_prefix', '_longest')
 
     def __init__(self, routes: Iterable[Route]) -> None:
-        self._by_host: dict[str, list[Route]] = {}
-        longest_first = sorted(
-            routes, key=lambda route: len(route.prefix), reverse=True
-        )
-        for route in longest_first:
-            self._by_host.setdefault(route.host, []).append(route)
+        self._by_prefix: dict[tuple[str, str], Route] = {}
+        # Length in characters of the longest prefix of each host.
+        self._longest: dict[str, int] = {}
+        for route in routes:
+            self._by_prefix.setdefault((route.host, route.prefix), route)
+            length = max(len(route.prefix), self._longest.get(route.host, 0))
+            self._longest[route.host] = length
 
     def __repr__(self) -> str:
         """Return a short description for debugging."""
-        return f'<RouteTable hosts={len(self._by_host)}>'
+        return f'<RouteTable routes={len(self._by_prefix)}>'
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route whose prefix is the longest match of `path`, or None."""
-        for route in self._by_host.get(host, ()):
-            if path.startswith(route.prefix):
+        end = path.rfind('/', 0, self._longest.get(host, 0))
+        while end >= 0:
+            route = self._by_prefix.get((host, path[: end + 1]))
+            if route is not None:
                 return route
+            end = path.rfind('/', 0, end)
         return None
 
 
--- a/currantmast/direct/targets.py
+++ b/currantmast/direct/targets.py
@@ -286,7 +286,7 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._targets: dict[str, Target] = {}
-        self._by_service: dict[str, list[Target]] = {}
+        self._by_service: dict[str, dict[str, Target]] = {}
         self.evacuated: frozenset[str] = frozenset()
 
     def __len__(self) -> int:
@@ -309,21 +309,24 @@
         """Add a target, replace it after a restart, or update its record."""
         listed = self._targets.get(record.id)
         if listed is not None and listed.record.started_at_ms == record.started_at_ms:
+            self._take_out(listed)
             listed.update(record)
+            self._put_in(listed)
         else:
-            self._targets[record.id] = Target(record, self._clock)
-        self._index()
+            self.remove(record.id)
+            self._put_in(Target(record, self._clock))
 
     def remove(self, target_id: str) -> None:
         """Remove a target, if it is listed."""
-        if self._targets.pop(target_id, None) is not None:
-            self._index()
+        listed = self._targets.get(target_id)
+        if listed is not None:
+            self._take_out(listed)
 
     def list_usable(self, service: str) -> list[Target]:
         """Return the targets of `service` that may get requests."""
         return [
             target
-            for target in self._by_service.get(service, ())
+            for target in self._by_service.get(service, {}).values()
             if self._is_usable(target)
         ]
 
@@ -357,7 +360,12 @@
         evacuated = target.record.location.failure_domain in self.evacuated
         return ready and not evacuated and not target.ejection
 
-    def _index(self) -> None:
-        self._by_service = {}
-        for target in self._targets.values():
-            self._by_service.setdefault(target.record.service, []).append(target)
+    def _put_in(self, target: Target) -> None:
+        record = target.record
+        self._targets[record.id] = target
+        self._by_service.setdefault(record.service, {})[record.id] = target
+
+    def _take_out(self, target: Target) -> None:
+        record = target.record
+        self._targets.pop(record.id)
+        self._by_service[record.service].pop(record.id)
