--- a/tests/test_direct_rates.py
+++ b/tests/test_direct_rates.py
@@ -187,3 +187,58 @@
     rates = TeamRateLimiter(ManualClock())
     rates.set_teams([TEAM])
     assert rates.admit(TEAM) == SharesUnknown()
+
+
+def offer_at_random(fleet, rate, seconds, seed):
+    """Send requests at random members; return how many were sent and admitted."""
+    rng = random.Random(seed)
+    offered = []
+
+    def make_counts():
+        counts = dict.fromkeys(fleet.members, 0)
+        number = sum(rng.random() < rate * PERIOD_S / 20 for _ in range(20))
+        for name in rng.choices(sorted(counts), k=number):
+            counts[name] += 1
+        offered.append(number)
+        return counts
+
+    admitted = run_load(fleet, make_counts, seconds)
+    return offered, admitted
+
+
+def test_small_team_is_not_refused_by_many_members():
+    """Guards against shares of a small rate of which none is a whole request.
+
+    The load of a large fleet: a team sends two thirds of its rate, over 27 members.
+    """
+    fleet = Fleet(27, Team('schools', rate=4.5, burst=4.5))
+    for rates in fleet.members.values():
+        rates.allow_slack(20)
+    run_load(fleet, dict, 10)
+    offered, admitted = offer_at_random(fleet, rate=3, seconds=60, seed=7)
+    assert sum(admitted) >= 0.99 * sum(offered)
+
+
+def test_sudden_load_at_many_members_stays_within_the_slack():
+    """Guards against all members borrowing the same tokens before they hear each other."""
+    for rate in (4.5, 30, 150):
+        fleet = Fleet(27, Team('schools', rate=rate, burst=rate))
+        for rates in fleet.members.values():
+            rates.allow_slack(20)
+        run_load(fleet, dict, 10)
+        offer_at_random(fleet, rate=rate / 1.5, seconds=10, seed=8)
+        _, admitted = offer_at_random(fleet, rate=5 * rate, seconds=15, seed=9)
+        assert max_in_window(admitted) <= (rate * 5 + rate) * 1.1 + 20
+
+
+def test_admissions_of_a_team_that_was_left_out_are_counted_once():
+    """Guards against a long past count that empties a team's bucket at once."""
+    rates = TeamRateLimiter(ManualClock(1000))
+    rates.set_teams([TEAM])
+    rates.update_peers([DemandReport('1', 'run', {}, {})])
+    before = rates._shares['schools'].team_bucket.count()
+    rates.update_peers([DemandReport('1', 'run', {'schools': 0.5}, {'schools': 300})])
+    assert before - rates._shares['schools'].team_bucket.count() <= 1
+    rates.update_peers([DemandReport('1', 'run', {}, {})])
+    rates.update_peers([DemandReport('1', 'run', {'schools': 0.5}, {'schools': 302})])
+    assert before - rates._shares['schools'].team_bucket.count() <= 3
