Delete the record of an instance only if it is still the same run's

The record of an instance was deleted by name: by its old run at the end of a planned stop, or by the member that removes the dead. If a new run had registered meanwhile, its record went, and the fleet forgot a living member until it registered again. Change: the record is read first and left alone if another run wrote it; the deletion is conditional on its revision. The stand-in of the store knows conditional deletions. Both new tests failed before.

--- a/currantmast/direct/process.py
+++ b/currantmast/direct/process.py
@@ -237,8 +237,8 @@
     def _run_housekeeping(self) -> None:
         while True:
             self._register()
-            for member_id in list_removable(self.state.members):
-                self._remove_member(member_id)
+            for record in list_removable(self.state.members):
+                self._remove_member(record)
             self._clock.sleep(HOUSEKEEPING_INTERVAL_S)
 
     def _register(self) -> None:
@@ -254,13 +254,13 @@
         self._registered = True
         self._instances.own_record_lost = False
 
-    def _remove_member(self, member_id: str) -> None:
+    def _remove_member(self, record: InstanceRecord) -> None:
         try:
-            self._store.delete_instance(member_id)
+            self._store.delete_instance(record)
         except StoreError as error:
-            log_event('member_not_removed', member=member_id, error=error)
+            log_event('member_not_removed', member=record.id, error=error)
             return
-        log_event('member_removed', member=member_id)
+        log_event('member_removed', member=record.id)
 
     def _reload(self) -> None:
         while True:
@@ -289,7 +289,7 @@
         heartbeat_socket.send_to_all()
         self._clock.sleep(grace_s * ACCEPT_FRACTION)
         front.stop_accepting()
-        self._remove_member(self._settings.id)
+        self._remove_member(self.state.members.own)
         while (
             front.has_pending_requests()
             and self._clock.now() - started_at < grace_s * EXIT_FRACTION
--- a/currantmast/direct/removals.py
+++ b/currantmast/direct/removals.py
@@ -1,14 +1,15 @@
 """Removal of the records of members that have gone."""
 
 from currantmast.direct.members import Members
+from currantmast.direct.model import InstanceRecord
 
 # Time without a heartbeat after which a member's record may be removed. By then its lease
 # has expired, so its share of the rate limits can be given to others.
 REMOVAL_TIMEOUT_S = 8.0
 
 
-def list_removable(members: Members) -> tuple[str, ...]:
-    """Return the ids of the members whose records this instance should remove.
+def list_removable(members: Members) -> tuple[InstanceRecord, ...]:
+    """Return the records that this instance should remove.
 
     Only the living entry instance of a region with the smallest id removes the records of
     its region, so that members don't race. The records of a region in which no member
@@ -28,7 +29,7 @@
         all_regions = {peer.location.region for peer in members.list_peers()}
         first_regions |= all_regions - living_regions - {own.location.region}
     return tuple(
-        peer.id
+        peer
         for peer in members.list_peers()
         if peer.location.region in first_regions
         and members.measure_silence(peer) > REMOVAL_TIMEOUT_S
--- a/currantmast/direct/requests.py
+++ b/currantmast/direct/requests.py
@@ -122,5 +122,5 @@
     def put_instance(self, record: Any) -> None:
         """Write the record of an instance."""
 
-    def delete_instance(self, instance_id: str) -> None:
-        """Delete the record of an instance."""
+    def delete_instance(self, record: Any) -> None:
+        """Delete the record of one run of an instance, if it is still that run's."""
--- a/currantmast/platform/store.py
+++ b/currantmast/platform/store.py
@@ -120,18 +120,25 @@
         else:
             _raise_for_status(created)
 
-    def delete_instance(self, instance_id: str) -> None:
-        """Remove the record of an instance, if it exists.
+    def delete_instance(self, record: InstanceRecord) -> None:
+        """Remove the record of a run of an instance, unless a newer run replaced it.
 
         Raises
         ------
         StoreError
-            If it is not certain that the record was removed.
+            If it is not certain that the record was removed, or if it changed meanwhile.
         """
-        path = f'/objects/{OBJECT_KINDS[Topic.instances]}/{quote(instance_id, safe="")}'
-        answer = self._call('DELETE', path)
-        if answer.status != HTTPStatus.NOT_FOUND:
-            _raise_for_status(answer)
+        name = quote(record.id, safe='')
+        path = f'/objects/{OBJECT_KINDS[Topic.instances]}/{name}'
+        answer = self._call('GET', path)
+        if answer.status == HTTPStatus.NOT_FOUND:
+            return
+        _raise_for_status(answer)
+        stored = _decode_object(Topic.instances, _decode_page(answer))
+        if stored.value is None or stored.value == record:
+            deleted = self._call('DELETE', f'{path}?rev={stored.revision}')
+            if deleted.status != HTTPStatus.NOT_FOUND:
+                _raise_for_status(deleted)
 
     def _read(self, topic: Topic, query: dict[str, str], timeout_s: float) -> dict:
         path = f'/objects/{OBJECT_KINDS[topic]}'
@@ -141,13 +148,7 @@
         if answer.status == HTTPStatus.GONE:
             raise WatchExpired(f'{topic.value}: {query}')
         _raise_for_status(answer)
-        try:
-            page = msgspec.json.decode(answer.body)
-        except msgspec.MsgspecError as error:
-            raise StoreUnavailable(f'unreadable answer: {error}') from error
-        if not isinstance(page, dict):
-            raise StoreUnavailable('the answer is not a JSON object')
-        return page
+        return _decode_page(answer)
 
     def _call(self, method: str, path: str, body: bytes = b'') -> Answer:
         try:
@@ -188,6 +189,16 @@
         raise StoreUnavailable(f'status {answer.status}')
 
 
+def _decode_page(answer: Answer) -> dict:
+    try:
+        page = msgspec.json.decode(answer.body)
+    except msgspec.MsgspecError as error:
+        raise StoreUnavailable(f'unreadable answer: {error}') from error
+    if not isinstance(page, dict):
+        raise StoreUnavailable('the answer is not a JSON object')
+    return page
+
+
 def _get_field(page: dict, field: str, kind: type) -> Any:
     value = page.get(field)
     if not isinstance(value, kind):
--- a/currantmast/standins/platformstore.py
+++ b/currantmast/standins/platformstore.py
@@ -1,6 +1,7 @@
 """Stand-in of the store of the users' platform, as its published pages describe it."""
 
 from collections import deque
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any
 from urllib.parse import parse_qs, unquote, urlsplit
@@ -62,6 +63,8 @@
     def __init__(self, address: Address = ANY_PORT) -> None:
         self.faults = StoreFaults()
         self.calls: list[str] = []
+        # Called before an object is deleted, to change it in between.
+        self.before_delete: Callable[[], None] | None = None
         self._stored: dict[tuple[str, str], dict[str, Any]] = {}
         self._history: deque[_Change] = deque(maxlen=HISTORY_KEPT)
         self._revision = 1
@@ -134,7 +137,7 @@
             if inbound.method == 'POST':
                 return self._create(kind, msgspec.json.decode(inbound.body))
             return self._read(kind, query)
-        return self._change(inbound, kind, parts[2])
+        return self._change(inbound, kind, parts[2], query.get('rev'))
 
     def _read(self, kind: str, query: dict[str, str]) -> OutboundAnswer:
         revision = query.get('watch')
@@ -178,10 +181,16 @@
             return _reply(known, HTTPStatus.CONFLICT)
         return _reply(self._store(kind, name, document['spec']))
 
-    def _change(self, inbound: InboundRequest, kind: str, name: str) -> OutboundAnswer:
+    def _change(
+        self, inbound: InboundRequest, kind: str, name: str, revision: str | None
+    ) -> OutboundAnswer:
+        if inbound.method == 'DELETE' and self.before_delete is not None:
+            self.before_delete()
         known = self._stored.get((kind, name))
         if known is None:
             return OutboundAnswer(HTTPStatus.NOT_FOUND)
+        if revision is not None and int(revision) != known['meta']['rev']:
+            return _reply(known, HTTPStatus.CONFLICT)
         match inbound.method:
             case 'PUT':
                 spec = msgspec.json.decode(inbound.body).get('spec')
--- a/tests/test_direct_entries.py
+++ b/tests/test_direct_entries.py
@@ -129,7 +129,7 @@
     run_heartbeats(members, clock, heard, 3)
     assert records[0].id in members.entries
     reserves = {record.id for record in records if record.id.endswith('-05')}
-    assert not reserves & set(list_removable(members))
+    assert not reserves & {record.id for record in list_removable(members)}
 
 
 class Wire:
--- a/tests/test_direct_members.py
+++ b/tests/test_direct_members.py
@@ -74,7 +74,7 @@
     members.observe(make_heartbeat('c', 1))
     assert list_removable(members) == ()
     clock.advance(1.2)
-    assert list_removable(members) == ('a', 'd')
+    assert list_ids(list_removable(members)) == ['a', 'd']
     members.observe(make_heartbeat('a', 1))
     assert list_removable(members) == ()
 
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -2,11 +2,17 @@
 
 import gevent
 import pytest
+from msgspec.structs import replace
 
 from currantmast.clocks import BootClock
 from currantmast.direct.following import InvalidEntry, Topic
 from currantmast.direct.model import InstanceRecord, Location
-from currantmast.errors import StoreOutcomeUnknown, StoreUnavailable, WatchExpired
+from currantmast.errors import (
+    StoreConflict,
+    StoreOutcomeUnknown,
+    StoreUnavailable,
+    WatchExpired,
+)
 from currantmast.messages import Address
 from currantmast.platform.documents import configure_regions
 from currantmast.platform.store import ObjectStore
@@ -106,11 +112,31 @@
     client.put_instance(RECORD)
     entries = client.list_all(Topic.instances).entries
     assert [entry.value for entry in entries] == [RECORD]
-    client.delete_instance('i1')
-    client.delete_instance('i1')
+    client.delete_instance(RECORD)
+    client.delete_instance(RECORD)
     assert not client.list_all(Topic.instances).entries
 
 
+def test_record_of_a_new_run_is_not_deleted_for_an_old_one(standin, client):
+    """Guards against two that act around a restart: the old run, or a remover that saw it.
+
+    The second of them would delete the record of the run that has just registered.
+    """
+    returned = replace(RECORD, incarnation='run-2')
+    client.put_instance(returned)
+    client.delete_instance(RECORD)
+    entries = client.list_all(Topic.instances).entries
+    assert [entry.value for entry in entries] == [returned]
+
+
+def test_record_that_changes_during_its_deletion_stays(standin, client):
+    client.put_instance(RECORD)
+    standin.before_delete = lambda: standin.put('instances', 'i1', {'a': 1})
+    with pytest.raises(StoreConflict):
+        client.delete_instance(RECORD)
+    assert len(client.list_all(Topic.instances).entries) == 1
+
+
 def test_write_without_an_answer_has_an_unknown_outcome(standin, client):
     standin.faults.delay_s = 3
     with pytest.raises(StoreOutcomeUnknown):
