Let a reserve tell that its demand ended, and drop what it told long ago

Found while reading the diff: a reserve that had served callers sent its last full heartbeat with demand and none afterwards to other regions, so all shares of rates there stayed frozen as if a member were silent. Now it goes on with full heartbeats for 3.5 s, and a report of a reserve that is older than 8 s no longer counts.

--- a/currantmast/direct/heartbeats.py
+++ b/currantmast/direct/heartbeats.py
@@ -19,6 +19,7 @@
 from currantmast.direct.reports import (
     MAX_DEMANDS,
     MAX_LOADS,
+    RESERVE_TIMEOUT_S,
     Heartbeat,
     decode_heartbeat,
     encode_heartbeat,
@@ -73,6 +74,8 @@
         host, port = self._socket.getsockname()
         self.address = Address(host, port)
         self.rejected = 0
+        # Until when a reserve sends full heartbeats, since it serves callers.
+        self._active_until: float = 0
 
     def __enter__(self) -> Self:
         """Return the open socket."""
@@ -116,7 +119,11 @@
         """
         members = self._state.members
         demands = keep_largest(self._state.rate_limiter.announce(), MAX_DEMANDS)
-        own_active = members.own.id in members.entries or bool(demands)
+        if demands:
+            # Afterwards the others must still be told that there is none.
+            self._active_until = self._clock.now() + RESERVE_TIMEOUT_S
+        is_entry = members.own.id in members.entries
+        own_active = is_entry or self._clock.now() < self._active_until
         brief = self._make_heartbeat(brief=True)
         full = self._make_heartbeat(demands) if own_active else brief
         for peer in members.list_peers():
--- a/currantmast/direct/reports.py
+++ b/currantmast/direct/reports.py
@@ -16,6 +16,10 @@
 # The same for reserves, whose heartbeats are less frequent.
 RESERVE_TIMEOUT_S = 3.5
 
+# Age in seconds at which the report of a reserve is dropped. By then its lease has expired
+# if it died, as before the removal of a member's record.
+MAX_RESERVE_AGE_S = 8.0
+
 # Limits of the entries in a heartbeat, which keep the datagram small. Only the largest
 # entries are sent.
 MAX_LOADS = 60
@@ -105,8 +109,16 @@
         return self._measure_age(received) <= RESERVE_TIMEOUT_S
 
     def list_demands(self, expected_ids: frozenset[str]) -> tuple[DemandReport, ...]:
-        """Return the demand of the members that reported some, or are expected to."""
-        return tuple(map(self._get_demand, expected_ids | self._received.keys()))
+        """Return the demand of the members that are expected to report it, and of others.
+
+        The others are reserves that serve callers, or did so a moment ago.
+        """
+        reserves = {
+            member_id
+            for member_id, received in self._received.items()
+            if self._measure_age(received) <= MAX_RESERVE_AGE_S
+        }
+        return tuple(map(self._get_demand, expected_ids | reserves))
 
     def list_spillover(self, member_ids: Iterable[str]) -> tuple[SpilloverReports, ...]:
         """Return the recent reports of members about other regions."""
--- a/tests/test_direct_entries.py
+++ b/tests/test_direct_entries.py
@@ -211,3 +211,36 @@
     observe(members, 'a', 2, brief=True)
     assert members.reports.sum_loads() == {'t': 2}
     assert decode_heartbeat(b'') is None
+
+
+def test_reserve_that_no_longer_serves_callers_freezes_no_shares(clock):
+    """Guards against rates whose shares stay frozen, since a reserve went quiet.
+
+    Its last full heartbeat told of demand, and it sends none to other regions any more.
+    """
+    records = make_fleet()
+    state = make_state(records[18], records, clock)
+    reserve = 'uist-c-03'
+    observe(state.members, reserve, 1, demands={'schools': 0.1})
+    assert reserve in {report.member for report in state.list_demands()}
+    clock.advance(9)
+    assert reserve not in {report.member for report in state.list_demands()}
+
+
+def test_reserve_tells_all_entry_instances_that_its_demand_ended(clock):
+    records = make_fleet()
+    state, _ = collect_receivers(records[0], records, clock, 1, demands=('schools',))
+    sent = []
+    with HeartbeatSocket(Address('127.0.0.1', 0), state, clock) as heartbeats:
+        heartbeats._send_to = lambda peer, heartbeat: sent.append((peer.id, heartbeat))
+        heartbeats.send_heartbeats(0)
+        clock.advance(2)
+        state.rate_limiter.set_teams([])
+        sent.clear()
+        heartbeats.send_heartbeats(0)
+        told = {name for name, heartbeat in sent if not heartbeat.brief}
+        assert 'uist-c-20' in told
+        clock.advance(9)
+        sent.clear()
+        heartbeats.send_heartbeats(0)
+        assert all(heartbeat.brief for _, heartbeat in sent)
