Let replacements that were never heard hold up no team rate

Found while reading the diff: when a region is lost, its reserves are selected one after the other and none answers; as members that never reported anything they stopped borrowing everywhere, so other regions refused requests inside the rates. Only the first entry instances are expected to report now.

--- a/currantmast/direct/instance_state.py
+++ b/currantmast/direct/instance_state.py
@@ -1,5 +1,6 @@
 """State of an instance, kept up to date by followers of the store and by heartbeats."""
 
+import math
 from typing import Any
 
 from currantmast.clocks import Clock
@@ -48,6 +49,8 @@
         self.members = Members(own, clock)
         self.targets_listed = False
         self.members_listed = False
+        # Time at which the members were listed for the first time.
+        self.members_listed_at = math.inf
         self.leaving = False
         self.apply_bounds(bounds)
         self.update_member_budgets()
@@ -63,9 +66,18 @@
         return known and not self.leaving
 
     def list_demands(self) -> tuple[DemandReport, ...]:
-        """Return the demand that the other active members reported."""
-        members = self.members
-        return members.reports.list_demands(members.entries.ids - {members.own.id})
+        """Return the demand that the other active members reported.
+
+        The first entry instances are expected to report some. One that replaced another
+        has none before it is heard.
+        """
+        entries = self.members.entries
+        first = {
+            member_id
+            for member_id in entries.ids
+            if entries.since(member_id) <= self.members_listed_at
+        }
+        return self.members.reports.list_demands(first - {self.members.own.id})
 
     def apply_bounds(self, bounds: Bounds) -> None:
         """Set the limits of the whole fleet."""
--- a/currantmast/direct/process.py
+++ b/currantmast/direct/process.py
@@ -229,6 +229,7 @@
             self.state.members_listed = True
             self._members_listed.set()
             self.state.members.update_entries()
+            self.state.members_listed_at = self._clock.now()
             self.state.update_member_budgets()
             # Divides the rates of teams now, so that the first requests needn't wait for
             # the next heartbeat.
--- a/currantmast/direct/reports.py
+++ b/currantmast/direct/reports.py
@@ -1,7 +1,7 @@
 """Heartbeats between members, and what the active members report of themselves in them."""
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Set
 
 import msgspec
 
@@ -108,7 +108,7 @@
             return False
         return self._measure_age(received) <= RESERVE_TIMEOUT_S
 
-    def list_demands(self, expected_ids: frozenset[str]) -> tuple[DemandReport, ...]:
+    def list_demands(self, expected_ids: Set[str]) -> tuple[DemandReport, ...]:
         """Return the demand of the members that are expected to report it, and of others.
 
         The others are reserves that serve callers, or did so a moment ago.
--- a/tests/test_direct_entries.py
+++ b/tests/test_direct_entries.py
@@ -244,3 +244,22 @@
         sent.clear()
         heartbeats.send_heartbeats(0)
         assert all(heartbeat.brief for _, heartbeat in sent)
+
+
+def test_replacements_that_were_never_heard_do_not_stop_borrowing(clock):
+    """Guards against refusals inside the rates while a whole region is lost.
+
+    Its reserves are selected in turn for the entry instances that died, and none answers.
+    """
+    records = make_fleet()
+    state = make_state(records[18], records, clock)
+    state.members_listed_at = clock.now()
+    lost = {record.id for record in records if record.location.region == 'uist'}
+    heard = [record.id for record in records if record.id not in lost]
+    first = state.members.entries.ids
+    assert first - {records[18].id} == {one.member for one in state.list_demands()}
+    run_heartbeats(state.members, clock, [*heard, *first], 1)
+    for _ in range(24):
+        run_heartbeats(state.members, clock, heard, 0.5)
+        reports = state.list_demands()
+        assert all(one.incarnation for one in reports)
