Name no small machine beside large ones in look-ups

A replay with the log of that machine shows it as an entry instance with 0.43 of a core and a link of 5 Mbit/s, the third of its failure domain beside two of 2.15 cores: callers choose at random, so it got as much as they did, put configurations in force 0.2 to 0.6 s late, and its calls to the store timed out. Ruled out: a late relay, since entry instances read the store themselves. Change: a third entry instance is wanted only if it has half of the largest one's capacity; else two are enough, if they have 0.4 of the domain's. Lost relays have a log line. The test failed before.

--- a/currantmast/direct/entries.py
+++ b/currantmast/direct/entries.py
@@ -20,7 +20,12 @@
 # Fraction of a failure domain's capacity that its entry instances have together, and the
 # least number of them.
 CAPACITY_FRACTION = 0.4
-MIN_PER_DOMAIN = 3
+MIN_PER_DOMAIN = 2
+
+# Entry instances of a failure domain that are wanted if they are about equally large.
+# Callers choose among them at random, so a small one would get as much as a large one.
+WANTED_PER_DOMAIN = 3
+MIN_RELATIVE_CAPACITY = 0.5
 
 
 def select_entries(
@@ -52,7 +57,9 @@
     usable.sort(key=lambda member: (-member.capacity, member.id))
     selected: list[str] = []
     for member in usable:
-        if needed <= 0 and len(selected) >= MIN_PER_DOMAIN:
+        is_large = member.capacity >= usable[0].capacity * MIN_RELATIVE_CAPACITY
+        wanted = WANTED_PER_DOMAIN if is_large else MIN_PER_DOMAIN
+        if needed <= 0 and len(selected) >= wanted:
             break
         selected.append(member.id)
         needed -= member.capacity
--- a/currantmast/direct/relays.py
+++ b/currantmast/direct/relays.py
@@ -37,6 +37,7 @@
     TransportError,
     WatchExpired,
 )
+from currantmast.runtime.logs import log_event
 
 # Longest time in seconds that a watch waits at a relay, and that its answer may take
 # beyond that. Short, so that the loss of a relay is noticed soon.
@@ -293,7 +294,14 @@
         for relay in relays[:MAX_RELAYS]:
             try:
                 return self._call(relay, topic, revision, wait_s)
-            except TransportError:
+            except TransportError as error:
+                log_event(
+                    'relay_lost',
+                    level='WARNING',
+                    relay=relay.id,
+                    topic=topic.value,
+                    error=error,
+                )
                 self._failed_until[relay.id] = self._clock.now() + RELAY_BACKOFF_S
                 self._connections.close_idle(_name_channel(relay, topic))
             except StoreUnavailable:
--- a/tests/test_direct_entries.py
+++ b/tests/test_direct_entries.py
@@ -47,6 +47,17 @@
     assert 'fife-a-00' not in entries
 
 
+def test_small_member_is_no_entry_instance_beside_large_ones():
+    """Guards against a small machine that gets as many callers as a large one.
+
+    It falls behind with the configuration, too.
+    """
+    records = make_fleet(large=2, small=9)
+    entries = select_entries(records)
+    assert len(entries) == 18
+    assert all(one.capacity == LARGE for one in records if one.id in entries)
+
+
 def test_members_of_equal_capacity_are_entry_instances_in_part():
     entries = select_entries(make_fleet(large=0, small=20))
     assert len(entries) == 9 * 8
