Split the relays by job, and let shared pieces serve what was written twice

Found while reading the whole change again; answers, bounds and timing stay as they were. - Whether a socket has unread bytes was asked in exchanges and again in front: direct/sockets.is_readable serves both. - relays.py held three jobs in 400 lines: relays (the record and its server), relaymessages (what is sent) and reserves (how a reserve reads). A reserve's own record is marked lost in one place. - UpdateLog had a clock that nothing used and two checks that could not fail, and kept an entry for each removed name until the next list, as the server's encoded entries did; now only what lives is kept, and a removal follows from the change and the missing entry. - members_listed, a flag beside the time of the same event, is derived from that time. Selecting entry instances and dividing budgets among them is one step of the state. - A full heartbeat is a brief one with more fields; a flag and an empty mapping went. - The first living entry instance is found without a sentinel id; ready entry instances are picked by EntryInstances. Two tests use the harness of test_direct_following. Ruled out: changes that hold their entries, which would keep each old configuration.

--- a/currantmast/direct/entries.py
+++ b/currantmast/direct/entries.py
@@ -12,6 +12,7 @@
 as long as it takes to notice a failure.
 """
 
+import math
 from collections.abc import Collection, Iterable
 
 from currantmast.clocks import Clock
@@ -112,4 +113,4 @@
 
     def since(self, member_id: str) -> float:
         """Return when a member became an entry instance; -inf if it is none."""
-        return self._since.get(member_id, float('-inf'))
+        return self._since.get(member_id, -math.inf)
--- a/currantmast/direct/exchanges.py
+++ b/currantmast/direct/exchanges.py
@@ -11,7 +11,6 @@
 
 import gevent
 import msgspec
-from gevent.select import select
 from gevent.socket import create_connection
 from gevent.socket import socket as Socket
 
@@ -22,6 +21,7 @@
     AnswerReader,
     BufferedBytes,
 )
+from currantmast.direct.sockets import is_readable
 from currantmast.errors import (
     ExchangeBroken,
     NothingSent,
@@ -167,7 +167,7 @@
         idle_sockets = self._idle.get(target_id)
         while idle_sockets:
             idle = idle_sockets.pop()
-            if self._clock.now() < idle.until and _has_no_unread_bytes(idle.sock):
+            if self._clock.now() < idle.until and not is_readable(idle.sock):
                 return idle.sock
             idle.sock.close()
         return None
@@ -211,9 +211,3 @@
         lines.append(f'Content-Length: {len(request.body)}')
     head = '\r\n'.join((*lines, '', '')).encode('latin-1')
     return b''.join((head, request.body))
-
-
-def _has_no_unread_bytes(sock: Socket) -> bool:
-    """Return whether an idle connection is open and has no unread bytes."""
-    readable, _, _ = select([sock], [], [], 0)
-    return not readable
--- a/currantmast/direct/front.py
+++ b/currantmast/direct/front.py
@@ -14,7 +14,6 @@
 import gevent
 from gevent.event import Event
 from gevent.greenlet import Greenlet
-from gevent.select import select
 from gevent.server import StreamServer
 from gevent.socket import socket as Socket
 
@@ -28,6 +27,7 @@
     encode_answer,
 )
 from currantmast.direct.model import CallerLimits
+from currantmast.direct.sockets import is_readable
 from currantmast.errors import CurrantmastError
 from currantmast.messages import Address
 from currantmast.runtime.logs import log_event
@@ -180,8 +180,7 @@
             return False
         if self._has_pending_requests() or self._reader.started_at is not None:
             return True
-        readable, _, _ = select([self._sock], [], [], 0)
-        return bool(readable)
+        return is_readable(self._sock)
 
     def _has_pending_requests(self) -> bool:
         return self._busy or bool(self._pending)
--- a/currantmast/direct/heartbeats.py
+++ b/currantmast/direct/heartbeats.py
@@ -3,9 +3,7 @@
 Who sends which heartbeats to whom is told in `members`.
 """
 
-from collections.abc import Mapping
 from itertools import count
-from types import MappingProxyType
 from typing import Self
 
 import msgspec
@@ -47,8 +45,6 @@
 
 MAX_DATAGRAM_BYTES = 65_536
 
-NONE: Mapping[str, float] = MappingProxyType({})
-
 # Datagrams received after which the loop yields to other tasks.
 YIELD_DATAGRAMS = 64
 
@@ -124,8 +120,8 @@
             self._active_until = self._clock.now() + RESERVE_TIMEOUT_S
         is_entry = members.own.id in members.entries
         own_active = is_entry or self._clock.now() < self._active_until
-        brief = self._make_heartbeat(brief=True)
-        full = self._make_heartbeat(demands) if own_active else brief
+        brief = self._make_brief()
+        full = self._make_full(demands) if own_active else brief
         for peer in members.list_peers():
             peer_active = _is_active(members, peer.id)
             interval = self._choose_interval(peer, own_active, peer_active)
@@ -134,7 +130,7 @@
 
     def send_to_all(self) -> None:
         """Send a heartbeat to every member, to announce a planned stop."""
-        brief = self._make_heartbeat(brief=True)
+        brief = self._make_brief()
         for peer in self._state.members.list_peers():
             self._send_to(peer, brief)
 
@@ -150,24 +146,24 @@
         wanted_s = BRIEF_TO_RESERVE_S if own_active else BRIEF_TO_ENTRY_S
         return max(1, round(wanted_s / self._choose_period()))
 
-    def _make_heartbeat(
-        self, demands: Mapping[str, float] = NONE, *, brief: bool = False
-    ) -> Heartbeat:
+    def _make_brief(self) -> Heartbeat:
         state = self._state
         own = state.members.own
-        heartbeat = Heartbeat(
+        return Heartbeat(
             sender=own.id,
             incarnation=own.incarnation,
             sent_at=self._clock.now(),
             ready=state.is_ready(),
             leaving=state.leaving,
-            brief=brief,
+            brief=True,
         )
-        if brief:
-            return heartbeat
+
+    def _make_full(self, demands: dict[str, float]) -> Heartbeat:
+        state = self._state
         return msgspec.structs.replace(
-            heartbeat,
-            demands=dict(demands),
+            self._make_brief(),
+            brief=False,
+            demands=demands,
             admitted=state.rate_limiter.count_recently_admitted(),
             loads=keep_largest(state.targets.count_loads(), MAX_LOADS),
             spillover=state.placement.spillover.make_report(),
@@ -215,8 +211,7 @@
             log_event('member_heard', member=member_id)
         for member_id in sorted(silent):
             log_event('member_silent', level='WARNING', member=member_id)
-        if state.members.update_entries():
-            state.update_member_budgets()
+        if state.update_entries():
             log_event('entries_selected', count=len(state.members.entries))
         if state.members_listed:
             state.rate_limiter.update_peers(state.list_demands())
--- a/currantmast/direct/instance_state.py
+++ b/currantmast/direct/instance_state.py
@@ -48,18 +48,22 @@
         self.retries = RetryBudgets(clock)
         self.members = Members(own, clock)
         self.targets_listed = False
-        self.members_listed = False
         # Time at which the members were listed for the first time.
         self.members_listed_at = math.inf
         self.leaving = False
         self.apply_bounds(bounds)
-        self.update_member_budgets()
+        self._divide_budgets()
 
     def __repr__(self) -> str:
         """Return a short description for debugging."""
         version = self.configuration.version
         return f'<InstanceState version={version} targets={len(self.targets)}>'
 
+    @property
+    def members_listed(self) -> bool:
+        """Whether the members were listed."""
+        return self.members_listed_at < math.inf
+
     def is_ready(self) -> bool:
         """Return whether callers may be sent to this instance."""
         known = self.configuration.value is not None and self.targets_listed
@@ -84,7 +88,14 @@
         self.bounds = bounds
         self.rate_limiter.allow_slack(bounds.rate_slack)
 
-    def update_member_budgets(self) -> None:
+    def update_entries(self) -> bool:
+        """Select the entry instances anew; return whether they changed."""
+        changed = self.members.update_entries()
+        if changed:
+            self._divide_budgets()
+        return changed
+
+    def _divide_budgets(self) -> None:
         """Divide the fleet's budgets between the entry instances."""
         entries = self.members.entries.pick(self.members.list_all())
         self.retries.set_member_count(len(entries))
--- a/currantmast/direct/members.py
+++ b/currantmast/direct/members.py
@@ -168,8 +168,7 @@
         ready = [
             record for record in self._records.values() if self.is_ready(record.id)
         ]
-        entries = tuple(record for record in ready if record.id in self.entries)
-        return entries or tuple(ready)
+        return self.entries.pick(ready) or tuple(ready)
 
     def _has_failed(self, member_id: str) -> bool:
         """Return whether a member can't be an entry instance now."""
--- a/currantmast/direct/process.py
+++ b/currantmast/direct/process.py
@@ -27,14 +27,10 @@
 from currantmast.direct.model import CallerLimits, DirectSettings, InstanceRecord
 from currantmast.direct.probes import Prober
 from currantmast.direct.queries import Queries
-from currantmast.direct.relays import (
-    RecordingSource,
-    RelayedSource,
-    RelayServer,
-    wait_for_relay,
-)
+from currantmast.direct.relays import RecordingSource, RelayServer
 from currantmast.direct.removals import list_removable
 from currantmast.direct.requests import Registry, WireFormat
+from currantmast.direct.reserves import RelayedSource, wait_for_relay
 from currantmast.direct.steering import Steering
 from currantmast.errors import SettingsError, StoreError, TaskFailed
 from currantmast.runtime.logs import log_event
@@ -226,11 +222,9 @@
 
     def _set_members_listed(self, sent_at: float) -> None:
         if not self.state.members_listed:
-            self.state.members_listed = True
-            self._members_listed.set()
-            self.state.members.update_entries()
+            self.state.update_entries()
             self.state.members_listed_at = self._clock.now()
-            self.state.update_member_budgets()
+            self._members_listed.set()
             # Divides the rates of teams now, so that the first requests needn't wait for
             # the next heartbeat.
             self.state.rate_limiter.update_peers(self.state.list_demands())
--- a/currantmast/direct/removals.py
+++ b/currantmast/direct/removals.py
@@ -19,10 +19,11 @@
     if own.id not in members.entries:
         return ()
     alive = [peer for peer in members.list_peers() if members.is_alive(peer.id)]
-    entry_ids = [peer.id for peer in alive if peer.id in members.entries]
-    local_ids = [peer.id for peer in alive if members.is_local(peer)]
-    is_first = own.id < min(entry_ids, default='~')
-    is_first_locally = own.id < min(set(entry_ids) & set(local_ids), default='~')
+    entries = members.entries.pick(alive)
+    is_first = all(own.id < peer.id for peer in entries)
+    is_first_locally = all(
+        own.id < peer.id for peer in entries if members.is_local(peer)
+    )
     first_regions = {own.location.region} if is_first_locally else set()
     if is_first:
         living_regions = {peer.location.region for peer in alive}
--- /dev/null
+++ b/currantmast/direct/reserves.py
@@ -0,0 +1,175 @@
+"""How a reserve reads the store: through a relay near it, or itself when those fail."""
+
+from http import HTTPStatus
+
+import xxhash
+
+from currantmast.clocks import Clock
+from currantmast.direct.exchanges import TargetConnections, TargetRequest
+from currantmast.direct.following import StoreUpdate, Topic
+from currantmast.direct.members import Members
+from currantmast.direct.model import InstanceRecord
+from currantmast.direct.relaymessages import LIST, decode_update
+from currantmast.direct.relays import MAX_WAIT_S, RecordingSource
+from currantmast.errors import StoreUnavailable, TransportError, WatchExpired
+from currantmast.runtime.logs import log_event
+
+# Time in seconds that a relay's answer may take beyond the wait of a watch.
+ANSWER_MARGIN_S = 0.6
+
+# Relays that are tried for one call, and the time in seconds for which one that failed
+# isn't tried again.
+MAX_RELAYS = 2
+RELAY_BACKOFF_S = 3.0
+
+# Shortest time in seconds between calls to the store of a reserve whose relays say that
+# the store doesn't answer.
+DIRECT_INTERVAL_S = 1.5
+
+START_POLL_INTERVAL_S = 0.05
+
+
+class RelayedSource:
+    """The store as an instance reads it: itself, or through a relay if it is a reserve.
+
+    Parameters
+    ----------
+    recorded : RecordingSource
+        The store; only what an entry instance reads is recorded.
+    members : Members
+        Members of the fleet, from which relays are chosen.
+    clock : Clock
+        Source of time.
+    """
+
+    __slots__ = (
+        '_called_store_at',
+        '_clock',
+        '_connections',
+        '_failed_until',
+        '_members',
+        '_recorded',
+    )
+
+    def __init__(
+        self, recorded: RecordingSource, members: Members, clock: Clock
+    ) -> None:
+        self._recorded = recorded
+        self._members = members
+        self._clock = clock
+        self._connections = TargetConnections(clock)
+        self._failed_until: dict[str, float] = {}
+        self._called_store_at: dict[Topic, float] = {}
+
+    def __repr__(self) -> str:
+        """Return a short description for debugging."""
+        return f'<RelayedSource {self._recorded!r}>'
+
+    def list_all(self, topic: Topic) -> StoreUpdate:
+        """Return every entry of `topic`."""
+        if self._is_entry():
+            return self._recorded.list_all(topic)
+        relayed = self._read_relayed(topic, LIST, 0)
+        return relayed or self._recorded.store.list_all(topic)
+
+    def watch(self, topic: Topic, revision: int, wait_s: float) -> StoreUpdate:
+        """Return the changes after `revision`; wait up to `wait_s` seconds for one."""
+        if self._is_entry():
+            return self._recorded.watch(topic, revision, wait_s)
+        relayed = self._read_relayed(topic, revision, min(MAX_WAIT_S, wait_s))
+        return relayed or self._recorded.store.watch(topic, revision, wait_s)
+
+    def _is_entry(self) -> bool:
+        return self._members.own.id in self._members.entries
+
+    def _read_relayed(
+        self, topic: Topic, revision: int, wait_s: float
+    ) -> StoreUpdate | None:
+        """Return a relay's answer, or None if the store is to be read.
+
+        Raises
+        ------
+        WatchExpired
+            If the relay doesn't know all changes after `revision`.
+        StoreUnavailable
+            If the store doesn't answer the relays, and was read a moment ago.
+        """
+        # A reserve doesn't keep its own record up to date, so it relays nothing.
+        self._recorded.logs[topic].lose()
+        now = self._clock.now()
+        relays = [
+            record
+            for record in list_relays(self._members)
+            if self._failed_until.get(record.id, now) <= now
+        ]
+        refusals = 0
+        for relay in relays[:MAX_RELAYS]:
+            try:
+                return self._call(relay, topic, revision, wait_s)
+            except TransportError as error:
+                log_event(
+                    'relay_lost',
+                    level='WARNING',
+                    relay=relay.id,
+                    topic=topic.value,
+                    error=error,
+                )
+                self._failed_until[relay.id] = self._clock.now() + RELAY_BACKOFF_S
+                self._connections.close_idle(_name_channel(relay, topic))
+            except StoreUnavailable:
+                refusals += 1
+        if refusals and now - self._called_store_at.get(topic, 0) < DIRECT_INTERVAL_S:
+            raise StoreUnavailable('the store does not answer the relays')
+        self._called_store_at[topic] = now
+        return None
+
+    def _call(
+        self, relay: InstanceRecord, topic: Topic, revision: int, wait_s: float
+    ) -> StoreUpdate:
+        path = f'/{topic.value}?revision={revision}&wait_s={wait_s:.3f}'
+        request = TargetRequest('GET', path, (('Host', relay.id),))
+        answer = self._connections.exchange(
+            _name_channel(relay, topic),
+            relay.peer,
+            request,
+            wait_s + ANSWER_MARGIN_S,
+            lambda _: True,
+        )
+        if answer.status == HTTPStatus.GONE:
+            raise WatchExpired(f'{topic.value}: {revision}')
+        if answer.status != HTTPStatus.OK:
+            raise StoreUnavailable(f'{relay.id}: status {answer.status}')
+        return decode_update(topic, answer.body)
+
+
+def list_relays(members: Members) -> tuple[InstanceRecord, ...]:
+    """Return the ready entry instances of the local region, the nearest first.
+
+    Reserves of a failure domain start with different ones of them.
+    """
+    own = members.own
+    relays = [
+        record
+        for record in members.entries.pick(members.list_peers())
+        if members.is_local(record) and members.is_ready(record.id)
+    ]
+    relays.sort(
+        key=lambda record: (
+            record.location.failure_domain != own.location.failure_domain,
+            xxhash.xxh3_64_intdigest(f'{own.id}|{record.id}'.encode()),
+        )
+    )
+    return tuple(relays)
+
+
+def wait_for_relay(members: Members, clock: Clock, wait_s: float) -> None:
+    """Wait up to `wait_s` seconds until a starting reserve has heard a relay."""
+    latest = clock.now() + wait_s
+    while members.own.id not in members.entries and not list_relays(members):
+        if clock.now() >= latest:
+            return
+        clock.sleep(START_POLL_INTERVAL_S)
+
+
+def _name_channel(relay: InstanceRecord, topic: Topic) -> str:
+    return f'{relay.id}/{relay.incarnation}/{topic.value}'
--- a/currantmast/direct/updatelogs.py
+++ b/currantmast/direct/updatelogs.py
@@ -5,7 +5,6 @@
 import msgspec
 from gevent.event import Event
 
-from currantmast.clocks import Clock
 from currantmast.direct.following import Entry, StoreUpdate
 from currantmast.errors import StoreUnavailable, WatchExpired
 
@@ -23,26 +22,19 @@
 
     A watch gets the present state of the entries that changed since its revision, so it
     never gets a state that is older than what it has.
-
-    Parameters
-    ----------
-    clock : Clock
-        Source of time.
     """
 
     __slots__ = (
+        '_available',
         '_changed',
         '_changes',
-        '_clock',
         '_entries',
         '_first_revision',
         '_last_revision',
-        'available',
         'read_at',
     )
 
-    def __init__(self, clock: Clock) -> None:
-        self._clock = clock
+    def __init__(self) -> None:
         self._changed = Event()
         self._changes: deque[_Change] = deque()
         self._entries: dict[str, Entry] = {}
@@ -51,7 +43,7 @@
         self._first_revision = 0
         self._last_revision = -1
         # Whether the store answered the last call.
-        self.available = False
+        self._available = False
         # Time at which the newest successful call was sent.
         self.read_at: float = 0
 
@@ -61,7 +53,9 @@
 
     def put_list(self, update: StoreUpdate, sent_at: float) -> None:
         """Replace all entries."""
-        self._entries = {entry.name: entry for entry in update.entries}
+        self._entries = {
+            entry.name: entry for entry in update.entries if entry.value is not None
+        }
         self._changes.clear()
         self._first_revision = update.revision
         self._advance(update.revision, sent_at)
@@ -69,19 +63,22 @@
     def put_changes(self, update: StoreUpdate, sent_at: float) -> None:
         """Add the changes that a watch returned."""
         for entry in update.entries:
-            self._entries[entry.name] = entry
             self._changes.append(_Change(update.revision, entry.name))
+            if entry.value is None:
+                self._entries.pop(entry.name, None)
+            else:
+                self._entries[entry.name] = entry
         while len(self._changes) > MAX_CHANGES:
             self._first_revision = self._changes.popleft().revision
         self._advance(update.revision, sent_at)
 
     def can_continue(self, revision: int) -> bool:
         """Return whether the changes after `revision` continue the known ones."""
-        return self._last_revision >= 0 and revision == self._last_revision
+        return revision == self._last_revision
 
     def lose(self) -> None:
         """Record that the store doesn't answer; ends all waiting watches."""
-        self.available = False
+        self._available = False
         self._wake()
 
     def list_all(self) -> StoreUpdate:
@@ -92,8 +89,7 @@
         StoreUnavailable
             If the store has not answered the last call.
         """
-        entries = (entry for entry in self._entries.values() if entry.value is not None)
-        return StoreUpdate(self._get_revision(), tuple(entries))
+        return StoreUpdate(self._get_revision(), tuple(self._entries.values()))
 
     def watch(self, revision: int, wait_s: float) -> StoreUpdate:
         """Return the changes after `revision`, waiting up to `wait_s` for the first.
@@ -110,21 +106,27 @@
             self._get_revision()
         if revision < self._first_revision:
             raise WatchExpired(f'changes are known from {self._first_revision} on')
-        names = {change.name for change in self._changes if change.revision > revision}
-        return StoreUpdate(
-            max(revision, self._get_revision()),
-            tuple(self._entries[name] for name in names),
+        # The last change of each name.
+        changed = {
+            change.name: change.revision
+            for change in self._changes
+            if change.revision > revision
+        }
+        entries = (
+            self._entries.get(name, Entry(name, changed_at, None))
+            for name, changed_at in changed.items()
         )
+        return StoreUpdate(max(revision, self._get_revision()), tuple(entries))
 
     def _get_revision(self) -> int:
-        if not self.available or self._last_revision < 0:
+        if not self._available:
             raise StoreUnavailable('the store does not answer')
         return self._last_revision
 
     def _advance(self, revision: int, sent_at: float) -> None:
         changed = revision != self._last_revision
         self._last_revision = revision
-        self.available = True
+        self._available = True
         self.read_at = sent_at
         if changed:
             self._wake()
--- a/tests/test_direct_relays.py
+++ b/tests/test_direct_relays.py
@@ -2,16 +2,10 @@
 
 import gevent
 import pytest
+from test_direct_following import FollowerHarness
 
 from currantmast.clocks import BootClock, ManualClock
-from currantmast.direct.following import (
-    Entry,
-    Follower,
-    InvalidEntry,
-    StoreHealth,
-    StoreUpdate,
-    Topic,
-)
+from currantmast.direct.following import Entry, InvalidEntry, StoreUpdate, Topic
 from currantmast.direct.front import FrontServer
 from currantmast.direct.members import Members
 from currantmast.direct.model import (
@@ -25,8 +19,9 @@
     WeightedService,
     WorkKind,
 )
-from currantmast.direct.relays import RecordingSource, RelayedSource, RelayServer
+from currantmast.direct.relays import RecordingSource, RelayServer
 from currantmast.direct.reports import Heartbeat
+from currantmast.direct.reserves import RelayedSource
 from currantmast.direct.updatelogs import UpdateLog
 from currantmast.errors import StoreUnavailable, WatchExpired
 from currantmast.messages import Address
@@ -78,17 +73,6 @@
         return self.answers[topic]
 
 
-class Subscriber:
-    def __init__(self):
-        self.known = {}
-
-    def put(self, name, value):
-        self.known[name] = value
-
-    def remove(self, name):
-        self.known.pop(name, None)
-
-
 class Relay:
     """A relay that listens, and the reserve that follows it."""
 
@@ -192,41 +176,26 @@
 
 def test_list_of_a_relay_that_is_behind_brings_nothing_back():
     """Guards against a target or key in use again through a relay with an old copy."""
-    clock = ManualClock(100)
-    store = Store()
-    subscriber = Subscriber()
-    follower = Follower(Topic.targets, store, subscriber, clock, StoreHealth(clock))
-    store.answers[Topic.targets] = StoreUpdate(20, make_entries(make_target(1)))
-    follower.step()
-    store.answers[Topic.targets] = StoreUpdate(30, (Entry('t1', 30, None),))
-    follower.step()
-    follower._revision = None
-    old = StoreUpdate(25, make_entries(make_target(1)))
-    store.answers[Topic.targets] = old
-    follower.step()
-    assert not subscriber.known
+    harness = FollowerHarness()
+    harness.play(
+        StoreUpdate(20, make_entries(make_target(1))),
+        StoreUpdate(30, (Entry('t1', 30, None),)),
+    )
+    harness.follower._revision = None
+    harness.play(StoreUpdate(25, make_entries(make_target(1))))
+    assert not harness.subscriber.entries
 
 
 def test_age_of_a_relayed_read_shortens_the_lease():
     """Guards against a lease that outlives the last read of the store."""
-    clock = ManualClock(100)
-    store = Store()
-    confirmed = []
-    follower = Follower(
-        Topic.configuration,
-        store,
-        Subscriber(),
-        clock,
-        StoreHealth(clock),
-        confirmed.append,
-    )
-    store.answers[Topic.configuration] = StoreUpdate(20, (), 1.5)
-    follower.step()
-    assert confirmed == [98.5]
+    harness = FollowerHarness(Topic.configuration)
+    read_at = harness.clock.now()
+    harness.play(StoreUpdate(20, (), 1.5))
+    assert harness.confirmed == [read_at - 1.5]
 
 
 def test_log_returns_the_present_state_of_what_changed():
-    log = UpdateLog(ManualClock(0))
+    log = UpdateLog()
     log.put_list(StoreUpdate(5, make_entries(make_target(1), make_target(2))), 0)
     log.put_changes(StoreUpdate(7, (Entry('t1', 7, None),)), 0)
     log.put_changes(StoreUpdate(9, make_entries(make_target(1))), 0)
@@ -239,7 +208,7 @@
 
 
 def test_watch_from_a_newer_revision_waits_and_keeps_it():
-    log = UpdateLog(ManualClock(0))
+    log = UpdateLog()
     log.put_list(StoreUpdate(5, ()), 0)
     assert log.watch(8, 0).revision == 8
 
