--- a/currantmast/direct/following.py
+++ b/currantmast/direct/following.py
@@ -1,6 +1,5 @@
 """Followers: lists and watches of the store that keep an instance's state up to date."""
 
-import math
 from collections.abc import Callable
 from enum import Enum
 from random import Random
@@ -8,23 +7,15 @@
 from typing import Any, Protocol
 
 import msgspec
-from gevent.event import Event
 
 from currantmast.clocks import Clock
+from currantmast.direct.storehealth import RETURN_WINDOW_S, StoreHealth
 from currantmast.errors import StoreError, StoreUnavailable, WatchExpired
 from currantmast.runtime.logs import log_event
 
 FIRST_BACKOFF_S = 0.2
 MAX_BACKOFF_S = 1.0
 
-# Seconds after the store's recovery within which targets whose entries expired during
-# the outage write them again; an entry that is missing after that is removed.
-RETURN_WINDOW_S = 2.2
-
-# Seconds after a failure of the store for which a removal may only mean that the entry
-# expired.
-EXPIRY_WINDOW_S = 6.0
-
 
 class Topic(Enum):
     """Group of store entries that one follower reads."""
@@ -117,57 +108,6 @@
         """Handle the removal of an entry."""
 
 
-class StoreHealth:
-    """Whether the store answers, and when it last failed and recovered, for all topics.
-
-    The first follower that gets an answer after an outage wakes the others. The time in
-    which targets may write expired entries again starts at that answer.
-
-    Parameters
-    ----------
-    clock : Clock
-        Source of time.
-    """
-
-    __slots__ = ('_available', '_clock', 'failed_at', 'recovered_at')
-
-    def __init__(self, clock: Clock) -> None:
-        self._available = Event()
-        self._available.set()
-        self._clock = clock
-        self.failed_at = -math.inf
-        self.recovered_at = -math.inf
-
-    def __repr__(self) -> str:
-        """Return a short description for debugging."""
-        return f'<StoreHealth answers={self._available.is_set()}>'
-
-    def note_failure(self, sent_at: float) -> None:
-        """Record a call without a valid answer, which was sent at `sent_at`.
-
-        A call that was sent before the last recovery is ignored, since its failure says
-        nothing about the store after it.
-        """
-        if sent_at < self.recovered_at:
-            return
-        self.failed_at = self._clock.now()
-        self._available.clear()
-
-    def note_success(self) -> None:
-        """Record a valid answer."""
-        if not self._available.is_set():
-            self.recovered_at = self._clock.now()
-            self._available.set()
-
-    def wait(self, seconds: float) -> None:
-        """Wait until the store answers again, for at most `seconds` seconds."""
-        self._available.wait(seconds)
-
-    def may_have_expired(self) -> bool:
-        """Return whether an entry may be missing only because it expired in an outage."""
-        return self._clock.now() - self.failed_at < EXPIRY_WINDOW_S
-
-
 class Follower:
     """Reads one topic of the store and passes its changes to a subscriber.
 
@@ -327,6 +267,12 @@
             due = self._health.recovered_at + RETURN_WINDOW_S
             if due > self._clock.now():
                 self._removal_due[name] = due
+                log_event(
+                    'removal_deferred',
+                    topic=self.topic.value,
+                    name=name,
+                    for_s=due - self._clock.now(),
+                )
                 return
         self._drop(name, 'removed')
 
@@ -351,5 +297,11 @@
         self._backoff_s = FIRST_BACKOFF_S
         self._health.note_success()
         if self._store_lost:
-            log_event('store_regained', topic=self.topic.value)
+            outage = self._health.last_outage
+            log_event(
+                'store_regained',
+                topic=self.topic.value,
+                outage_s=outage.length_s if outage else None,
+                unnoticed_s=outage.unnoticed_s if outage else None,
+            )
         self._store_lost = False
--- a/tests/test_direct_following.py
+++ b/tests/test_direct_following.py
@@ -5,10 +5,10 @@
     Entry,
     Follower,
     InvalidEntry,
-    StoreHealth,
     StoreUpdate,
     Topic,
 )
+from currantmast.direct.storehealth import StoreHealth
 from currantmast.errors import StoreUnavailable, WatchExpired
 
 
--- a/tests/test_direct_logs.py
+++ b/tests/test_direct_logs.py
@@ -19,7 +19,6 @@
     Entry,
     Follower,
     InvalidEntry,
-    StoreHealth,
     StoreUpdate,
     Topic,
 )
@@ -33,6 +32,7 @@
 )
 from currantmast.direct.model import Bounds, InstanceRecord, Location, Team
 from currantmast.direct.reports import Heartbeat
+from currantmast.direct.storehealth import StoreHealth
 from currantmast.errors import StoreUnavailable, WatchExpired
 from currantmast.messages import Address
 from currantmast.outcomes import NotRun, OutcomeUnknown, Reason
