--- a/tests/test_direct_following.py
+++ b/tests/test_direct_following.py
@@ -10,6 +10,10 @@
 )
 from currantmast.direct.storehealth import StoreHealth
 from currantmast.errors import StoreUnavailable, WatchExpired
+from currantmast.platform.store import WATCH_MARGIN_S
+
+# Seconds after a failure within which an instance acts on the store's state again.
+RECOVERY_S = 3.0
 
 
 class ScriptedSource:
@@ -259,3 +263,35 @@
     waits = record_waits(harness)
     harness.play(StoreUpdate(5, ()), *[NO_CHANGES] * 40)
     assert min(waits) < 1 < 1.6 < max(waits)
+
+
+def test_removed_target_is_dropped_in_time_though_the_return_is_noticed_late():
+    """Guards against requests to a target that left while this instance was cut off."""
+    harness = FollowerHarness()
+    harness.play(StoreUpdate(5, (make_entry('a'),)), pause_s=10)
+    # The cut heals just after this call was sent.
+    healed_at = harness.clock.now()
+    harness.play(UNAVAILABLE, pause_s=1.3)
+    harness.play(WatchExpired(''), StoreUpdate(8, ()))
+    while harness.clock.now() < healed_at + RECOVERY_S - 0.2:
+        harness.play(NO_CHANGES)
+    assert not harness.subscriber.entries
+
+
+def test_broken_connection_keeps_no_removed_target():
+    """Guards against a failure too short for any entry to expire in it."""
+    harness = FollowerHarness()
+    harness.play(
+        StoreUpdate(5, (make_entry('a'),)),
+        UNAVAILABLE,
+        StoreUpdate(8, (make_removed('a'),)),
+    )
+    assert not harness.subscriber.entries
+
+
+def test_watch_of_targets_that_hangs_ends_within_the_recovery_time():
+    """Guards against requests to targets that left while a connection was silent."""
+    harness = FollowerHarness()
+    waits = record_waits(harness)
+    harness.play(StoreUpdate(5, ()), *[NO_CHANGES] * 5)
+    assert max(waits) + WATCH_MARGIN_S + 0.3 <= RECOVERY_S
--- a/tests/test_direct_relays.py
+++ b/tests/test_direct_relays.py
@@ -1,6 +1,9 @@
 """Reserves that follow the store through relays."""
 
+from random import Random
+
 import gevent
+import msgspec
 import pytest
 from test_direct_following import FollowerHarness
 
@@ -19,12 +22,15 @@
     WeightedService,
     WorkKind,
 )
+from currantmast.direct.relaymessages import LIST
 from currantmast.direct.relays import RecordingSource, RelayServer
 from currantmast.direct.reports import Heartbeat
-from currantmast.direct.reserves import RelayedSource
+from currantmast.direct.reserves import RelayedSource, list_relays
 from currantmast.direct.updatelogs import UpdateLog
 from currantmast.errors import StoreUnavailable, WatchExpired
 from currantmast.messages import Address
+from currantmast.standins.proxy import Link
+from currantmast.standins.shaping import Channel, LinkSettings
 
 HERE = Location('fife', 'fife-a')
 ANY_PORT = Address('127.0.0.1', 0)
@@ -231,3 +237,29 @@
     with pytest.raises(WatchExpired):
         recorded.watch(Topic.targets, 5, 0)
     assert not store.calls
+
+
+def test_relay_that_lost_the_store_passes_on_no_topic(relay):
+    """Guards against a list of targets that a cut-off relay hands on for seconds."""
+    relay.read(Topic.targets, StoreUpdate(9, make_entries(make_target(1))))
+    relay.store.lost = True
+    with pytest.raises(StoreUnavailable):
+        relay.recorded.list_all(Topic.configuration)
+    relay.direct.answers[Topic.targets] = StoreUpdate(12, ())
+    assert relay.source.list_all(Topic.targets).revision == 12
+
+
+def test_connections_to_relays_that_fell_silent_are_waited_for_once(relay):
+    """Guards against a reserve that waits for the silent connection of each relay."""
+    relay.read(Topic.targets, StoreUpdate(9, make_entries(make_target(1))))
+    settings = LinkSettings('relays', upstream=relay.server.address)
+    channels = (Channel(relay.clock), Channel(relay.clock))
+    link = Link(settings, channels, relay.clock, Random(1))
+    for record in list_relays(relay.members):
+        relay.members.put(msgspec.structs.replace(record, peer=link.address))
+    for record in list_relays(relay.members):
+        relay.source._call(record, Topic.targets, LIST, 0)
+    link.silence()
+    assert relay.source.list_all(Topic.targets).revision == 9
+    link.close()
+    assert not relay.direct.calls
