Drop a target that left once a cut has healed, instead of awaiting its return

Cause: an entry that was missing after this instance had lost the store was kept for 2.2 s from the first answer on, since it might only have expired. Any failed call counted as an outage of the store: a reset of 0.1 s, a lost relay, a cut of this instance alone. Up to 1.4 s passed before the return was noticed, so the target was used up to 3.6 s after a cut; 3 s are allowed.

The class: a local failure that is taken for one of the whole system. Now entries are taken to have expired only if the outage was long enough for that (two beats of a target), and if no peer reached the store meanwhile, which heartbeats tell. The time to return ends at the latest 0.3 s before the recovery time, counted from the last failed call. On the other paths: a watch that hangs ends within the recovery time, a relay that lost the store passes on no topic, and connections to other relays or to the store that may be silent too are closed.

Two tests had entries expire within 0.2 s, which can't happen; their outage lasts 4 s now, and their checks are the same.

--- a/currantmast/direct/exchanges.py
+++ b/currantmast/direct/exchanges.py
@@ -85,8 +85,7 @@
 
     def __exit__(self, *exc_info: object) -> None:
         """Close the idle connections."""
-        for target_id in tuple(self._idle):
-            self.close_idle(target_id)
+        self.close_all_idle()
 
     def __repr__(self) -> str:
         """Return a short description for debugging."""
@@ -97,6 +96,11 @@
         for idle in self._idle.pop(target_id, ()):
             idle.sock.close()
 
+    def close_all_idle(self) -> None:
+        """Close the idle connections to all targets."""
+        for target_id in tuple(self._idle):
+            self.close_idle(target_id)
+
     def exchange(
         self,
         target_id: str,
--- a/currantmast/direct/following.py
+++ b/currantmast/direct/following.py
@@ -9,13 +9,25 @@
 import msgspec
 
 from currantmast.clocks import Clock
-from currantmast.direct.storehealth import RETURN_WINDOW_S, StoreHealth
+from currantmast.direct.storehealth import StoreHealth
 from currantmast.errors import StoreError, StoreUnavailable, WatchExpired
 from currantmast.runtime.logs import log_event
 
 FIRST_BACKOFF_S = 0.2
 MAX_BACKOFF_S = 1.0
 
+# Fraction of a backoff that is waited at least. The rest is random, so that the followers
+# of an instance don't all call at once, and one of them soon notices a recovery.
+MIN_BACKOFF_FRACTION = 0.5
+
+# Longest wait in seconds of a watch while a missing target may be back, so that it is
+# dropped soon after a peer tells that the store was never away.
+MISSING_WAIT_S = 0.4
+
+# Seconds beyond its wait within which a watch that hangs is noticed and the topic is read
+# again.
+HANG_MARGIN_S = 1.0
+
 
 class Topic(Enum):
     """Group of store entries that one follower reads."""
@@ -133,8 +145,8 @@
         '_clock',
         '_health',
         '_last_revision',
+        '_missing',
         '_on_read',
-        '_removal_due',
         '_revision',
         '_revisions',
         '_rng',
@@ -165,8 +177,8 @@
         self._last_revision = 0
         # Revision of each known entry, by name.
         self._revisions: dict[str, int] = {}
-        # Time at which a missing entry is removed unless it returns, by name.
-        self._removal_due: dict[str, float] = {}
+        # Entries that are missing, but may only have expired in an outage.
+        self._missing: set[str] = set()
         self._health = health
         self._store_lost = False
         self._backoff_s = FIRST_BACKOFF_S
@@ -209,10 +221,9 @@
             return self._list_all()
         # After a failure the call returns at once, to detect the recovery early.
         wait_s = 0 if self._store_lost else self._choose_wait()
-        if self._removal_due:
-            wait_s = min(
-                wait_s, max(0, min(self._removal_due.values()) - self._clock.now())
-            )
+        if self._missing:
+            left_s = self._health.get_return_deadline() - self._clock.now()
+            wait_s = min(wait_s, MISSING_WAIT_S, max(0, left_s))
         return self._source.watch(self.topic, self._revision, wait_s)
 
     def _list_all(self) -> StoreUpdate:
@@ -224,6 +235,8 @@
 
     def _choose_wait(self) -> float:
         timing = WATCH_TIMINGS[self.topic]
+        if self.topic is Topic.targets:
+            return min(timing.wait_s, self._health.recovery_s - HANG_MARGIN_S)
         if timing.min_wait_s is None:
             return timing.wait_s
         return self._rng.uniform(timing.min_wait_s, timing.wait_s)
@@ -235,10 +248,9 @@
                 self._handle_missing(missing)
         for entry in update.entries:
             self._apply_entry(entry)
-        now = self._clock.now()
-        due_names = [name for name, due in self._removal_due.items() if due <= now]
-        for name in due_names:
-            self._drop(name, 'expired')
+        if not self._may_return():
+            for name in tuple(self._missing):
+                self._drop(name, 'expired')
 
     def _apply_entry(self, entry: Entry) -> None:
         match entry.value:
@@ -255,7 +267,7 @@
                     )
                 self._drop(entry.name, 'unusable')
             case value:
-                self._removal_due.pop(entry.name, None)
+                self._missing.discard(entry.name)
                 self._revisions[entry.name] = entry.revision
                 self._subscriber.put(entry.name, value)
 
@@ -263,21 +275,21 @@
         """Drop an entry at once, or later if it may only have expired in an outage."""
         if name not in self._revisions:
             return
-        if self.topic is Topic.targets and self._health.may_have_expired():
-            due = self._health.recovered_at + RETURN_WINDOW_S
-            if due > self._clock.now():
-                self._removal_due[name] = due
-                log_event(
-                    'removal_deferred',
-                    topic=self.topic.value,
-                    name=name,
-                    for_s=due - self._clock.now(),
-                )
-                return
-        self._drop(name, 'removed')
+        if self.topic is not Topic.targets or not self._may_return():
+            self._drop(name, 'removed')
+        elif name not in self._missing:
+            self._missing.add(name)
+            for_s = self._health.get_return_deadline() - self._clock.now()
+            log_event(
+                'removal_deferred', topic=self.topic.value, name=name, for_s=for_s
+            )
+
+    def _may_return(self) -> bool:
+        """Return whether a missing entry may be back soon."""
+        return self._clock.now() < self._health.get_return_deadline()
 
     def _drop(self, name: str, cause: str) -> None:
-        self._removal_due.pop(name, None)
+        self._missing.discard(name)
         if self._revisions.pop(name, None) is not None:
             log_event('entry_gone', topic=self.topic.value, name=name, cause=cause)
         self._subscriber.remove(name)
@@ -289,8 +301,8 @@
                 'store_lost', level='WARNING', topic=self.topic.value, error=error
             )
         self._store_lost = True
-        pause_s = self._backoff_s
-        self._backoff_s = min(MAX_BACKOFF_S, pause_s * 2)
+        pause_s = self._backoff_s * self._rng.uniform(MIN_BACKOFF_FRACTION, 1)
+        self._backoff_s = min(MAX_BACKOFF_S, self._backoff_s * 2)
         return pause_s
 
     def _note_success(self) -> None:
--- a/currantmast/direct/heartbeats.py
+++ b/currantmast/direct/heartbeats.py
@@ -156,6 +156,7 @@
             ready=state.is_ready(),
             leaving=state.leaving,
             brief=True,
+            store=state.store_health.make_contact(),
         )
 
     def _make_full(self, demands: dict[str, float]) -> Heartbeat:
@@ -195,6 +196,8 @@
         state = self._state
         if not state.members.observe(heartbeat):
             return
+        if heartbeat.store is not None:
+            state.store_health.note_peer(heartbeat.sender, heartbeat.store)
         confirmation = heartbeat.confirmation
         local_incarnation = state.members.own.incarnation
         if (
--- a/currantmast/direct/instance_state.py
+++ b/currantmast/direct/instance_state.py
@@ -18,6 +18,7 @@
 from currantmast.direct.placement import Placement
 from currantmast.direct.rates import DemandReport, TeamRateLimiter
 from currantmast.direct.retries import RetryBudgets
+from currantmast.direct.storehealth import StoreHealth
 from currantmast.direct.targets import TargetTable
 from currantmast.runtime.logs import log_event
 
@@ -46,6 +47,7 @@
         self.placement = Placement(own.location, clock)
         self.rate_limiter = TeamRateLimiter(clock)
         self.retries = RetryBudgets(clock)
+        self.store_health = StoreHealth(clock)
         self.members = Members(own, clock)
         self.targets_listed = False
         # Time at which the members were listed for the first time.
@@ -87,6 +89,7 @@
         """Set the limits of the whole fleet."""
         self.bounds = bounds
         self.rate_limiter.allow_slack(bounds.rate_slack)
+        self.store_health.apply_bounds(bounds)
 
     def update_entries(self) -> bool:
         """Select the entry instances anew; return whether they changed."""
--- a/currantmast/direct/model.py
+++ b/currantmast/direct/model.py
@@ -252,6 +252,11 @@
         A cold target gets at most its rate times the factor, plus the extra, per second.
     rate_slack : float
         Requests by which a team may exceed its rate in any few seconds.
+    recovery_s : float
+        Seconds after the end of a failure of an instance, its links or the store within
+        which it must act on the store's present state.
+    expiry_s : float
+        Seconds for which a target must fail to renew its entry before it can expire.
     lookup_ttl_s : float
         Longest lifetime of a look-up answer, in seconds.
     """
@@ -264,6 +269,8 @@
     cold_factor: float = 1.5
     cold_extra: float = 5
     rate_slack: float = 0
+    recovery_s: float = 3
+    expiry_s: float = 3
     lookup_ttl_s: float = 5
 
 
--- a/currantmast/direct/process.py
+++ b/currantmast/direct/process.py
@@ -32,7 +32,6 @@
 from currantmast.direct.requests import Registry, WireFormat
 from currantmast.direct.reserves import RelayedSource, wait_for_relay
 from currantmast.direct.steering import Steering
-from currantmast.direct.storehealth import StoreHealth
 from currantmast.errors import SettingsError, StoreError, TaskFailed
 from currantmast.runtime.logs import log_event
 from currantmast.runtime.supervisor import Supervisor, check_backend
@@ -197,7 +196,7 @@
             (Topic.evacuations, EvacuationSubscriber(state), None),
             (Topic.instances, self._instances, self._set_members_listed),
         )
-        health = StoreHealth(self._clock)
+        health = state.store_health
         source = RelayedSource(self._recorded, state.members, self._clock)
         for topic, subscriber, on_read in followers:
             follower = Follower(topic, source, subscriber, self._clock, health, on_read)
--- a/currantmast/direct/relays.py
+++ b/currantmast/direct/relays.py
@@ -58,7 +58,7 @@
         try:
             update = self.store.list_all(topic)
         except StoreError:
-            self.logs[topic].lose()
+            self._lose_all()
             raise
         self.logs[topic].put_list(update, sent_at)
         return update
@@ -72,12 +72,20 @@
         sent_at = self._clock.now()
         try:
             update = self.store.watch(topic, revision, wait_s)
-        except StoreError:
+        except WatchExpired:
             log.lose()
             raise
+        except StoreError:
+            self._lose_all()
+            raise
         log.put_changes(update, sent_at)
         return update
 
+    def _lose_all(self) -> None:
+        """Pass no topic on: the calls of the others may just not have failed yet."""
+        for log in self.logs.values():
+            log.lose()
+
 
 class RelayServer:
     """Answers the calls of reserves from the record of what was read from the store.
--- a/currantmast/direct/reports.py
+++ b/currantmast/direct/reports.py
@@ -9,6 +9,7 @@
 from currantmast.direct.freshness import Confirmation
 from currantmast.direct.rates import DemandReport
 from currantmast.direct.spillover import SpilloverReports
+from currantmast.direct.storehealth import StoreContact
 
 # Time without a heartbeat after which look-ups no longer return a member.
 HEARTBEAT_TIMEOUT_S = 1.5
@@ -52,6 +53,8 @@
         regions, by service.
     brief : bool
         Whether demands, admissions, loads and spillover were left out.
+    store : StoreContact or None
+        How long the store has answered the sender; None while it doesn't.
     """
 
     sender: str
@@ -65,6 +68,7 @@
     confirmation: Confirmation | None = None
     spillover: SpilloverReports = {}
     brief: bool = False
+    store: StoreContact | None = None
 
 
 class ReceivedHeartbeat(msgspec.Struct, frozen=True):
--- a/currantmast/direct/reserves.py
+++ b/currantmast/direct/reserves.py
@@ -115,7 +115,8 @@
                     error=error,
                 )
                 self._failed_until[relay.id] = self._clock.now() + RELAY_BACKOFF_S
-                self._connections.close_idle(_name_channel(relay, topic))
+                # Connections to the other relays may have fallen silent as well.
+                self._connections.close_all_idle()
             except StoreUnavailable:
                 refusals += 1
         if refusals and now - self._called_store_at.get(topic, 0) < DIRECT_INTERVAL_S:
--- a/currantmast/platform/boot.py
+++ b/currantmast/platform/boot.py
@@ -22,6 +22,11 @@
 # Bandwidth in Mbit/s that the requests take that keep one core busy.
 LINK_MBPS_PER_CORE = 14
 
+# Intervals between the writes of a target after which its entry can expire, counted from
+# the first write that fails: the store removes it after three, and the last write may
+# have been one interval earlier.
+EXPIRY_INTERVALS = 2
+
 
 class _Limits(msgspec.Struct):
     cpu_share: float = 1
@@ -58,6 +63,8 @@
 
 class _Provider(msgspec.Struct):
     provider: _Store
+    # Interval in seconds at which targets write their entries.
+    beat_s: float = 1.5
 
 
 class _BoundsTable(msgspec.Struct):
@@ -70,6 +77,8 @@
     cold_extra: float = 5
     quota_slack: float = 0
     ttl_max_s: float = 5
+    # Seconds after the end of any failure from which the other bounds hold again.
+    touch_s: float = 3
 
 
 class _Terms(msgspec.Struct):
@@ -159,6 +168,8 @@
             cold_extra=bounds.cold_extra,
             rate_slack=bounds.quota_slack,
             lookup_ttl_s=bounds.ttl_max_s,
+            recovery_s=bounds.touch_s,
+            expiry_s=boot.provider.beat_s * EXPIRY_INTERVALS,
         ),
         capacity=_compute_capacity(boot.own.limits),
         bootstrap=boot.own.bootstrap,
--- a/currantmast/platform/store.py
+++ b/currantmast/platform/store.py
@@ -176,7 +176,7 @@
             )
         except TransportError as error:
             # Other pooled connections to the store may be dead as well.
-            self._connections.close_idle(channel)
+            self._connections.close_all_idle()
             raise StoreUnavailable(str(error)) from error
 
 
--- a/currantmast/standins/platformfleet.py
+++ b/currantmast/standins/platformfleet.py
@@ -13,6 +13,7 @@
 import msgspec
 from gevent.pool import Pool
 
+from currantmast.clocks import LoopClock
 from currantmast.errors import TransportError
 from currantmast.exchange import Request, SingleSendClient, exchange
 from currantmast.experiment.ports import PortReserver
@@ -20,6 +21,8 @@
 from currantmast.messages import Address
 from currantmast.standins.platformstore import PlatformStore
 from currantmast.standins.platformtargets import PlatformTarget, TargetPlan, make_body
+from currantmast.standins.proxy import Link
+from currantmast.standins.shaping import Channel, LinkSettings
 
 ZONES = MappingProxyType(
     {
@@ -94,6 +97,8 @@
         self._sent = 0
         self._directory = Path()
         self._boots: dict[str, Path] = {}
+        # Link of each instance to the store.
+        self.store_links: dict[str, Link] = {}
         self._lookups: dict[str, Address] = {}
         self.store = PlatformStore()
 
@@ -249,16 +254,25 @@
         self.public[name] = front
         self._lookups[name] = lookup
         zones = '\n'.join(f'{known} = "{region}"' for known, region in ZONES.items())
+        self._open_store_link(name)
         path = self._directory / f'{name}.toml'
         path.write_text(
             f'[self]\nnode = "{name}"\nzone = "{zone}"\nregion = "{ZONES[zone]}"\n'
             f'ip = "127.0.0.1"\n[network]\nport_range = [{peer.port}, {metrics.port}]\n'
             f'[network.listen]\nfront = "{front}"\nreadiness = "{ready}"\n'
             f'directory = "{lookup}"\n[network.zones]\n{zones}\n'
-            f'[provider.provider]\naddr = "{self.store.address}"\n'
+            f'[provider.provider]\naddr = "{self.store_links[name].address}"\n'
         )
         return path
 
+    def _open_store_link(self, name: str) -> None:
+        clock = LoopClock()
+        settings = LinkSettings(name, upstream=self.store.address)
+        channels = (Channel(clock), Channel(clock))
+        link = Link(settings, channels, clock, self._dice)
+        self._stack.callback(link.close)
+        self.store_links[name] = link
+
     def _knows_region(self, name: str) -> bool:
         zone = _choose_zone(name)
         region = ZONES[zone]
--- a/tests/integration/test_platform.py
+++ b/tests/integration/test_platform.py
@@ -7,8 +7,10 @@
 import pytest
 from test_direct_endless import MAX_GROWTH_BYTES, open_endless
 
+from currantmast.direct.model import Bounds
 from currantmast.experiment.usage import read_memory_mb
 from currantmast.standins.platformfleet import KEYS, PlatformFleet
+from currantmast.standins.shaping import LinkFaults
 
 RATE = 60
 
@@ -116,6 +118,30 @@
     fleet.store.put('servers', target.plan.id, target.describe())
 
 
+def test_target_that_left_while_an_instance_was_cut_off_gets_nothing_from_it(fleet):
+    """Guards against a cut-off instance that takes a removal for an expired entry."""
+    cut = fleet.instances['edge-3']
+    link = fleet.store_links['edge-3']
+    left = [target for target in fleet.targets if target.plan.zone == 'skye-b']
+    written = len(cut.read_output())
+    link.apply(LinkFaults(lose_forward=True, lose_backward=True))
+    gevent.sleep(3)
+    for target in left:
+        fleet.store.remove('servers', target.plan.id)
+    fleet.store.forget_history()
+    gevent.sleep(3)
+    link.apply(LinkFaults())
+    gevent.sleep(Bounds().recovery_s)
+    before = [sum(target.tenants.values()) for target in left]
+    fleet.load(RATE, 2)
+    after = [sum(target.tenants.values()) for target in left]
+    for target in left:
+        fleet.store.put('servers', target.plan.id, target.describe())
+    assert after == before
+    gone = cut.read_output()[written:].count('event=entry_gone topic=targets')
+    assert gone == len(left)
+
+
 def test_targets_that_send_without_end_cost_nobody_else(fleet):
     """Guards against a target whose bytes starve an instance or fill its memory."""
     forms = ('header lines', 'interim answers', 'body without length')
--- a/tests/test_direct_following.py
+++ b/tests/test_direct_following.py
@@ -1,5 +1,7 @@
 """Followers of the store during outages, with expired entries and lost history."""
 
+import pytest
+
 from currantmast.clocks import ManualClock
 from currantmast.direct.following import (
     Entry,
@@ -8,7 +10,7 @@
     StoreUpdate,
     Topic,
 )
-from currantmast.direct.storehealth import StoreHealth
+from currantmast.direct.storehealth import StoreContact, StoreHealth
 from currantmast.errors import StoreUnavailable, WatchExpired
 from currantmast.platform.store import WATCH_MARGIN_S
 
@@ -84,6 +86,9 @@
 
 
 UNAVAILABLE = StoreUnavailable('503')
+
+# Calls that fail for 4 s, long enough for entries to expire.
+LONG_OUTAGE = [UNAVAILABLE] * 40
 NO_CHANGES = StoreUpdate(5, ())
 
 
@@ -122,7 +127,7 @@
     harness = FollowerHarness()
     harness.play(
         StoreUpdate(5, (make_entry('a'), make_entry('b'))),
-        UNAVAILABLE,
+        *LONG_OUTAGE,
         StoreUpdate(8, (make_removed('a'), make_removed('b'))),
     )
     assert set(harness.subscriber.entries) == {'a', 'b'}
@@ -135,7 +140,7 @@
     harness = FollowerHarness()
     harness.play(
         StoreUpdate(5, (make_entry('a'),)),
-        UNAVAILABLE,
+        *LONG_OUTAGE,
         WatchExpired(''),
         StoreUpdate(8, ()),
     )
@@ -295,3 +300,67 @@
     waits = record_waits(harness)
     harness.play(StoreUpdate(5, ()), *[NO_CHANGES] * 5)
     assert max(waits) + WATCH_MARGIN_S + 0.3 <= RECOVERY_S
+
+
+def play_cut(harness):
+    """Play a long outage in which a target goes missing."""
+    harness.play(
+        StoreUpdate(5, (make_entry('a'),)),
+        *LONG_OUTAGE,
+        StoreUpdate(8, (make_removed('a'),)),
+    )
+
+
+def test_target_removed_while_only_this_instance_was_cut_off_is_dropped_at_once():
+    harness = FollowerHarness()
+    harness.health.note_peer('peer', StoreContact(since_s=60, answered_s=0))
+    harness.play(StoreUpdate(5, (make_entry('a'),)), *LONG_OUTAGE)
+    harness.health.note_peer('peer', StoreContact(since_s=60, answered_s=1.5))
+    harness.play(StoreUpdate(8, (make_removed('a'),)))
+    assert not harness.subscriber.entries
+
+
+def test_missing_target_is_dropped_as_soon_as_a_peer_is_heard_that_had_the_store():
+    harness = FollowerHarness()
+    waits = record_waits(harness)
+    play_cut(harness)
+    assert harness.subscriber.entries
+    harness.health.note_peer('peer', StoreContact(since_s=60, answered_s=1.5))
+    harness.play(NO_CHANGES)
+    assert not harness.subscriber.entries
+    assert waits[-1] <= 0.5
+
+
+@pytest.mark.parametrize(
+    'contact',
+    [
+        pytest.param(StoreContact(since_s=60, answered_s=4.3), id='not yet noticed'),
+        pytest.param(StoreContact(since_s=0.1, answered_s=0), id='just returned'),
+    ],
+)
+def test_peer_that_lost_the_store_too_proves_no_removal(contact):
+    """Guards against a store outage that empties the table of targets."""
+    harness = FollowerHarness()
+    play_cut(harness)
+    harness.health.note_peer('peer', contact)
+    harness.play(NO_CHANGES)
+    assert set(harness.subscriber.entries) == {'a'}
+
+
+def test_failure_after_an_outage_leaves_targets_their_time_to_return():
+    harness = FollowerHarness()
+    play_cut(harness)
+    harness.play(UNAVAILABLE, NO_CHANGES, StoreUpdate(9, (make_removed('b'),)))
+    assert set(harness.subscriber.entries) == {'a'}
+    harness.play(NO_CHANGES, pause_s=2.2)
+    harness.play(NO_CHANGES)
+    assert not harness.subscriber.entries
+
+
+def test_outages_one_after_the_other_end_the_time_to_return_once():
+    """Guards against a missing target whose time starts anew with each short failure."""
+    harness = FollowerHarness()
+    play_cut(harness)
+    for _ in range(6):
+        harness.play(UNAVAILABLE, WatchExpired(''), StoreUpdate(9, ()), pause_s=0.2)
+    assert not harness.subscriber.entries
--- a/tests/test_direct_members.py
+++ b/tests/test_direct_members.py
@@ -4,8 +4,10 @@
 
 from currantmast.clocks import ManualClock
 from currantmast.direct.freshness import Confirmation, Freshness
+from currantmast.direct.heartbeats import HeartbeatSocket
+from currantmast.direct.instance_state import InstanceState
 from currantmast.direct.members import Members, choose_lookup_instances
-from currantmast.direct.model import InstanceRecord, Location
+from currantmast.direct.model import Bounds, InstanceRecord, Location
 from currantmast.direct.removals import list_removable
 from currantmast.direct.reports import (
     Heartbeat,
@@ -13,6 +15,7 @@
     encode_heartbeat,
     keep_largest,
 )
+from currantmast.direct.storehealth import StoreContact
 from currantmast.messages import Address
 
 
@@ -138,3 +141,18 @@
     assert freshness.is_valid(5)
     clock.advance(0.2)
     assert not freshness.is_valid(5)
+
+
+def test_heartbeats_tell_whether_the_store_answers(clock):
+    """Guards against a cut-off instance that takes its own outage for the store's."""
+    state = InstanceState(make_record('a'), Bounds(), clock)
+    with HeartbeatSocket(Address('127.0.0.1', 0), state, clock) as heartbeat_socket:
+        assert heartbeat_socket._make_brief().store is None
+        state.store_health.note_success()
+        clock.advance(9)
+        state.store_health.note_success()
+        clock.advance(1)
+        told = decode_heartbeat(encode_heartbeat(heartbeat_socket._make_brief()))
+        assert told.store == StoreContact(since_s=10, answered_s=1)
+        state.store_health.note_failure(clock.now())
+        assert heartbeat_socket._make_brief().store is None
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -81,11 +81,14 @@
 directory = "10.1.0.23:3"
 [network.zones]
 fife-a = "fife"
+[provider]
+beat_s = 1.2
 [provider.provider]
 addr = "10.2.0.1:4"
 [terms.bounds]
 revoke_s = 4
 strict_revoke = true
+touch_s = 4
 """
 
 
@@ -161,6 +164,8 @@
     settings = decode_boot(tomllib.loads(BOOT), 'boot.toml')
     assert settings.peer == Address('10.1.0.23', 7460)
     assert settings.bounds.revoke_s == 4
+    assert settings.bounds.recovery_s == 4
+    assert settings.bounds.expiry_s == pytest.approx(2.4)
     assert settings.regions == {'fife-a': 'fife'}
 
 
