--- a/currantmast/direct/instance_state.py
+++ b/currantmast/direct/instance_state.py
@@ -19,6 +19,7 @@
 from currantmast.direct.rates import DemandReport, TeamRateLimiter
 from currantmast.direct.retries import RetryBudgets
 from currantmast.direct.storehealth import StoreHealth
+from currantmast.direct.targetlimits import TargetLimits
 from currantmast.direct.targets import TargetTable
 from currantmast.runtime.logs import log_event
 
@@ -43,6 +44,7 @@
         self.service_picker = WeightedRoundRobin()
         self.freshness = Freshness(clock)
         self.targets = TargetTable(clock)
+        self.target_limits = TargetLimits()
         self.cold_start_limit = ColdStartLimit(own.id)
         self.placement = Placement(own.location, clock)
         self.rate_limiter = TeamRateLimiter(clock)
--- a/currantmast/direct/queries.py
+++ b/currantmast/direct/queries.py
@@ -59,6 +59,7 @@
             'configuration_version': state.configuration.version,
             'configuration_age_seconds': state.freshness.age(),
             'targets': len(state.targets),
+            'targets_limited': len(state.target_limits),
             'members': len(state.members),
             'members_ready': len(state.members.list_ready()),
             'entry_instances': len(state.members.entries),
--- a/currantmast/direct/requests.py
+++ b/currantmast/direct/requests.py
@@ -68,12 +68,16 @@
         Load that the target reports, if it does.
     shed : ShedReason or None
         Why the target did not run the request; None when it may have run it.
+    rate_limit : float or None
+        Requests per second that the target takes from the whole fleet; None when it
+        names no limit.
     """
 
     status: int
     stamped: bool
     load: Load | None
     shed: ShedReason | None
+    rate_limit: float | None = None
 
 
 class LookupQuery(msgspec.Struct, frozen=True):
--- a/currantmast/direct/steering.py
+++ b/currantmast/direct/steering.py
@@ -237,6 +237,10 @@
             self._state.placement.round_trips.note(
                 target.record.location.region, answer.connect_s
             )
+        if target_answer.stamped or target_answer.shed is ShedReason.full:
+            self._state.target_limits.note_answer(
+                target.record.id, target_answer.rate_limit
+            )
         match target_answer.shed:
             case ShedReason.full:
                 target.note_shed()
--- a/currantmast/platform/wire.py
+++ b/currantmast/platform/wire.py
@@ -1,5 +1,6 @@
 """Encoding of requests and answers on the platform: headers, cookies and JSON bodies."""
 
+import math
 from http.cookies import CookieError, SimpleCookie
 from urllib.parse import parse_qs
 
@@ -30,6 +31,9 @@
 STAMP = 'x-currantmast-server-stamp'
 NOT_EXECUTED = 'x-currantmast-not-executed'
 SERVER_LOAD = 'x-currantmast-server-load'
+# Requests a second that a target takes from all instances together. The page that
+# introduced it gives the name without the prefix that the other headers bear.
+SERVER_LIMITS = ('server-limit', 'x-currantmast-server-limit')
 INSTANCE_ID = 'x-currantmast-instance-id'
 COLD_MS = 'x-currantmast-cold-ms'
 
@@ -94,6 +98,7 @@
         status=status,
         stamped=answer.get(STAMP) is not None,
         load=_find_load(answer.get(SERVER_LOAD)),
+        rate_limit=_find_rate_limit(answer),
         shed=_find_shed(status) if not_run else None,
     )
 
@@ -154,6 +159,23 @@
     return int(text) / 1000 if text and text.isdigit() else None
 
 
+def _find_rate_limit(answer: Answer) -> float | None:
+    for name in SERVER_LIMITS:
+        text = answer.get(name)
+        if text is not None:
+            return _parse_rate(text)
+    return None
+
+
+def _parse_rate(text: str) -> float | None:
+    """Return a rate in requests per second, or None if it is no number above or at 0."""
+    try:
+        rate = float(text)
+    except ValueError:
+        return None
+    return rate if 0 <= rate < math.inf else None
+
+
 def _find_load(text: str | None) -> Load | None:
     fields = (text or '').split(',')
     if len(fields) != 3 or not all(field.strip().isdigit() for field in fields):
