Name the limiter of team rates by what it does, for any limit of the fleet

A target's limit is a rate over the fleet as well. TeamRateLimiter becomes FleetRateLimiter, which takes anything with a name, a rate and a burst; the log field team_tokens keeps its name.

--- a/currantmast/direct/instance_state.py
+++ b/currantmast/direct/instance_state.py
@@ -16,7 +16,7 @@
     TargetRecord,
 )
 from currantmast.direct.placement import Placement
-from currantmast.direct.rates import DemandReport, TeamRateLimiter
+from currantmast.direct.rates import DemandReport, FleetRateLimiter
 from currantmast.direct.retries import RetryBudgets
 from currantmast.direct.storehealth import StoreHealth
 from currantmast.direct.targetlimits import TargetLimits
@@ -47,7 +47,7 @@
         self.target_limits = TargetLimits()
         self.cold_start_limit = ColdStartLimit(own.id)
         self.placement = Placement(own.location, clock)
-        self.rate_limiter = TeamRateLimiter(clock)
+        self.rate_limiter = FleetRateLimiter(clock)
         self.retries = RetryBudgets(clock)
         self.store_health = StoreHealth(clock)
         self.members = Members(own, clock)
@@ -116,7 +116,7 @@
     def put(self, name: str, value: Configuration) -> None:
         """Put a configuration in force if it is newer."""
         if self._state.configuration.adopt(value):
-            self._state.rate_limiter.set_teams(value.teams.values())
+            self._state.rate_limiter.replace_limits(value.teams.values())
             log_event('configuration_in_force', version=value.version)
         elif value.version < self._state.configuration.version:
             log_event('configuration_ignored', version=value.version)
--- a/currantmast/direct/rates.py
+++ b/currantmast/direct/rates.py
@@ -1,13 +1,14 @@
-"""Rate limits of teams over the whole fleet, divided between its members by demand.
+"""Rate limits over the whole fleet, divided between its members by demand.
 
-Each member admits requests from a local token bucket whose rate and burst are a share of
-the team's. Each member computes its share from the demand that all members last
+They limit the requests of a team, or those to a target that takes only so many. Each
+member admits requests from a local token bucket whose rate and burst are a share of
+the limit's. Each member computes its share from the demand that all members last
 announced, its own included, so the shares are consistent up to the delay of a heartbeat.
 While a member is silent, no share may rise above the last one computed when all were
 heard, since the silent member may still be admitting requests.
 
-A share of a small rate would refuse requests that come close together although the team
-is far below its rate. Therefore each member also estimates the bucket of the whole team
+A share of a small rate would refuse requests that come close together although the fleet
+is far below its limit. Therefore each member also estimates the bucket of the whole fleet
 from the admissions that all members announce. It admits requests beyond its own share
 (borrows) while that bucket holds more than the others may have taken since their last
 announcements, which is their demand in that time.
@@ -17,6 +18,7 @@
 from collections import Counter
 from collections.abc import Iterable, Mapping
 from random import Random
+from typing import Protocol
 
 import msgspec
 
@@ -26,7 +28,6 @@
     DemandMeter,
     TokenBucket,
 )
-from currantmast.direct.model import Team
 
 # Fraction of a rate that is split evenly, so that each member has a share when demand
 # appears suddenly or when it can't hear all others.
@@ -39,8 +40,8 @@
 # old, since they come once a period and some of them get lost.
 ANNOUNCEMENT_AGE_S = 0.6
 
-# Fraction of the slack that the operator allows teams beyond their rates which may be used
-# for what an estimate of a team's bucket doesn't know yet.
+# Fraction of the slack that the operator allows beyond a rate which may be used for what an
+# estimate of the fleet's bucket doesn't know yet.
 SLACK_FRACTION = 0.4
 
 # Time in seconds for which an admission is announced: longer than a member that loses
@@ -50,16 +51,24 @@
 # Demand in requests per second below which it isn't announced.
 MIN_DEMAND = 0.05
 
-# Debt of a team's bucket, in seconds of its rate, beyond which the local shares are
+# Debt of the fleet's bucket, in seconds of its rate, beyond which the local shares are
 # refused too. Announcements of other members can arrive this late.
 MAX_DEBT_S = 0.5
 
-# Tokens, in seconds of a team's rate, that a new process assumes in the team's bucket. It
+# Tokens, in seconds of a rate, that a new process assumes in the fleet's bucket. It
 # admitted nothing for at least that long while it started; if all members started
 # together, nobody did.
 START_CREDIT_S = 0.5
 
 
+class FleetLimit(Protocol):
+    """Rate limit of a team or a target: requests per second, and the size of a burst."""
+
+    name: str
+    rate: float
+    burst: float
+
+
 class DemandReport(msgspec.Struct, frozen=True):
     """Demand and admissions that one member announced in its last heartbeat.
 
@@ -68,9 +77,9 @@
     member, incarnation : str
         Id of the member, and the token of its run.
     demands : dict of float
-        Requests per second, by team; a missing team means none.
+        Requests per second, by name of the limit; a missing one means none.
     admitted : dict of int
-        Requests admitted since its start, by team.
+        Requests admitted since its start, by name of the limit.
     recent : bool
         Whether the announcement is recent; False means that the member is silent.
     age_s : float
@@ -86,25 +95,25 @@
 
 
 class Admitted(msgspec.Struct, frozen=True):
-    """The request is within the team's rate."""
+    """The request is within the rate."""
 
 
 class RateExceeded(msgspec.Struct, frozen=True):
-    """The request exceeds the team's rate; holds the values that led to the refusal.
+    """The request exceeds the rate; holds the values that led to the refusal.
 
     Parameters
     ----------
     wait_s : float
         Seconds until a token is available.
-    share_tokens, team_tokens : float
-        Tokens in the local share, and the estimate for the whole team's bucket.
+    share_tokens, fleet_tokens : float
+        Tokens in the local share, and the estimate for the whole fleet's bucket.
     silent : int
         Number of silent members; while there are any, no share rises.
     """
 
     wait_s: float
     share_tokens: float = 0
-    team_tokens: float = 0
+    fleet_tokens: float = 0
     silent: int = 0
 
 
@@ -112,8 +121,8 @@
     """The rate can't be divided yet, since the members of the fleet are unknown."""
 
 
-class _TeamShare:
-    """Local bucket, team estimate and demand of one team at this member."""
+class _Share:
+    """Local bucket, estimate of the fleet's bucket, and demand of one limit."""
 
     __slots__ = (
         'admitted',
@@ -122,13 +131,13 @@
         'demand',
         'has_start_credit',
         'safe_fraction',
-        'team_bucket',
+        'fleet_bucket',
     )
 
     def __init__(self, clock: Clock) -> None:
         self.bucket = TokenBucket(clock)
         # Estimated from the admissions of all members.
-        self.team_bucket = TokenBucket(clock)
+        self.fleet_bucket = TokenBucket(clock)
         self.admitted = 0
         self.admitted_at = -math.inf
         self.has_start_credit = False
@@ -157,10 +166,10 @@
 
     def __repr__(self) -> str:
         """Return a short description for debugging."""
-        return f'<_CountedAdmissions {self.incarnation} teams={len(self.totals)}>'
+        return f'<_CountedAdmissions {self.incarnation} limits={len(self.totals)}>'
 
     def update(self, report: DemandReport) -> dict[str, int]:
-        """Return the admissions by team that `report` adds, and count them."""
+        """Return the admissions by name that `report` adds, and count them."""
         added: dict[str, int] = {}
         for name, total in report.admitted.items():
             counted = self.totals.get(name)
@@ -174,7 +183,7 @@
     def _estimate_recent(self, report: DemandReport, name: str) -> int:
         """Return how many of a total were admitted recently, when no earlier one is known.
 
-        Teams are left out of announcements while nothing is admitted for them.
+        Limits are left out of announcements while nothing is admitted under them.
         """
         total = report.admitted[name]
         if self.since_start:
@@ -183,8 +192,8 @@
         return min(total, max(1, recent))
 
 
-class TeamRateLimiter:
-    """Limits the rates of all teams at one member.
+class FleetRateLimiter:
+    """Keeps the limits of one kind, such as the rates of all teams, at one member.
 
     A new process starts with nearly empty buckets, so that a restart doesn't grant a
     second burst.
@@ -201,7 +210,7 @@
         '_clock',
         '_counted',
         '_knows_demands',
-        '_limited_teams',
+        '_limits',
         '_local_demands',
         '_peer_demands',
         '_peers',
@@ -214,14 +223,14 @@
     def __init__(self, clock: Clock, rng: Random | None = None) -> None:
         self._clock = clock
         self._rng = rng or Random()
-        self._shares: dict[str, _TeamShare] = {}
-        self._limited_teams: dict[str, Team] = {}
+        self._shares: dict[str, _Share] = {}
+        self._limits: dict[str, FleetLimit] = {}
         self._local_demands: dict[str, float] = {}
         # None until the other members are known: without them, this member would admit
         # the whole rate.
         self._peers: tuple[DemandReport, ...] | None = None
         # Demand of the other members, and the requests that they may have admitted since
-        # their last announcements, by team.
+        # their last announcements, by name.
         self._peer_demands: Mapping[str, float] = {}
         self._unannounced: Mapping[str, float] = {}
         self._knows_demands = False
@@ -230,16 +239,16 @@
 
     def __repr__(self) -> str:
         """Return a short description for debugging."""
-        return f'<TeamRateLimiter teams={len(self._shares)}>'
+        return f'<FleetRateLimiter limits={len(self._shares)}>'
 
-    def set_teams(self, teams: Iterable[Team]) -> None:
-        """Replace the teams and their limits by those of a new configuration."""
-        self._limited_teams = {team.name: team for team in teams if team.rate > 0}
-        for name in set(self._shares) - set(self._limited_teams):
+    def replace_limits(self, limits: Iterable[FleetLimit]) -> None:
+        """Replace all limits; a rate of 0 means no limit."""
+        self._limits = {limit.name: limit for limit in limits if limit.rate > 0}
+        for name in set(self._shares) - set(self._limits):
             self._shares.pop(name)
-        for name in self._limited_teams:
+        for name in self._limits:
             if name not in self._shares:
-                self._shares[name] = _TeamShare(self._clock)
+                self._shares[name] = _Share(self._clock)
         self._resize()
 
     def update_peers(self, peers: Iterable[DemandReport]) -> None:
@@ -260,13 +269,13 @@
         self._resize()
 
     def allow_slack(self, requests: float) -> None:
-        """Set by how many requests a team may exceed its rate in any few seconds."""
+        """Set by how many requests a rate may be exceeded in any few seconds."""
         self._slack = requests * SLACK_FRACTION
 
     def count_recently_admitted(self) -> dict[str, int]:
-        """Return the number of requests admitted here since the start, by team.
+        """Return the number of requests admitted here since the start, by name.
 
-        Only teams of which a request was admitted lately are included.
+        Only limits under which a request was admitted lately are included.
         """
         oldest = self._clock.now() - ANNOUNCED_S
         return {
@@ -276,7 +285,7 @@
         }
 
     def announce(self) -> dict[str, float]:
-        """Return the local demand in requests per second, by team, for a heartbeat.
+        """Return the local demand in requests per second, by name, for a heartbeat.
 
         From now on the local shares are computed from it.
         """
@@ -290,35 +299,35 @@
         self._resize()
         return self._local_demands
 
-    def admit(self, team: Team) -> Admitted | RateExceeded | SharesUnknown:
-        """Take a token for one request of `team`, or tell why there is none."""
-        share = self._shares.get(team.name)
+    def admit(self, limit: FleetLimit) -> Admitted | RateExceeded | SharesUnknown:
+        """Take a token of `limit` for one request, or tell why there is none."""
+        share = self._shares.get(limit.name)
         if share is None:
             return Admitted()
         share.demand.record(1)
         if self._peers is None:
             return SharesUnknown()
-        if _exceeds_debt_limit(team, share):
-            return self._make_refusal(share, -share.team_bucket.count() / team.rate)
-        if share.bucket.take(1) or self._may_borrow(team, share):
-            share.team_bucket.spend(1)
+        if _exceeds_debt_limit(limit, share):
+            return self._make_refusal(share, -share.fleet_bucket.count() / limit.rate)
+        if share.bucket.take(1) or self._may_borrow(limit, share):
+            share.fleet_bucket.spend(1)
             share.admitted += 1
             share.admitted_at = self._clock.now()
             return Admitted()
         return self._make_refusal(share, share.bucket.get_wait(1))
 
-    def _make_refusal(self, share: _TeamShare, wait_s: float) -> RateExceeded:
+    def _make_refusal(self, share: _Share, wait_s: float) -> RateExceeded:
         silent = sum(not peer.recent for peer in self._peers or ())
         return RateExceeded(
-            wait_s, share.bucket.count(), share.team_bucket.count(), silent
+            wait_s, share.bucket.count(), share.fleet_bucket.count(), silent
         )
 
-    def _may_borrow(self, team: Team, share: _TeamShare) -> bool:
-        """Return whether the team's bucket holds a token that no other may have taken."""
+    def _may_borrow(self, limit: FleetLimit, share: _Share) -> bool:
+        """Return whether the fleet's bucket holds a token that no other may have taken."""
         if not self._knows_demands:
             return False
-        tokens = share.team_bucket.count() + self._slack
-        return tokens >= 1 + self._unannounced.get(team.name, 0)
+        tokens = share.fleet_bucket.count() + self._slack
+        return tokens >= 1 + self._unannounced.get(limit.name, 0)
 
     def _count_peer_admissions(self, peer: DemandReport) -> None:
         if not peer.incarnation:
@@ -335,30 +344,30 @@
         for name, admitted in counted.update(peer).items():
             share = self._shares.get(name)
             if share is not None:
-                share.team_bucket.spend(admitted)
+                share.fleet_bucket.spend(admitted)
 
     def _resize(self) -> None:
         if self._peers is None:
             return
         all_heard = all(peer.recent for peer in self._peers)
         even_fraction = EVEN_FRACTION / (len(self._peers) + 1)
-        for name, team in self._limited_teams.items():
+        for name, limit in self._limits.items():
             share = self._shares[name]
             fraction = self._compute_fraction(name)
             if all_heard:
                 share.safe_fraction = fraction
             fraction = min(fraction, max(even_fraction, share.safe_fraction))
-            share.team_bucket.resize(team.rate, team.burst)
+            share.fleet_bucket.resize(limit.rate, limit.burst)
             share.bucket.resize(
-                team.rate * fraction, max(MIN_BURST, team.burst * fraction)
+                limit.rate * fraction, max(MIN_BURST, limit.burst * fraction)
             )
             if not share.has_start_credit:
-                self._add_start_credit(team, share)
+                self._add_start_credit(limit, share)
 
-    def _add_start_credit(self, team: Team, share: _TeamShare) -> None:
+    def _add_start_credit(self, limit: FleetLimit, share: _Share) -> None:
         share.has_start_credit = True
-        credit = team.rate * START_CREDIT_S
-        share.team_bucket.add(credit)
+        credit = limit.rate * START_CREDIT_S
+        share.fleet_bucket.add(credit)
         # A fraction of a token admits nothing, so it is rounded up or down at random,
         # with the fraction as the probability of rounding up.
         whole, remainder = divmod(credit / (len(self._peers or ()) + 1), 1)
@@ -374,5 +383,5 @@
         return even_fraction + (1 - EVEN_FRACTION) * own / total
 
 
-def _exceeds_debt_limit(team: Team, share: _TeamShare) -> bool:
-    return share.team_bucket.count() < -(team.rate * MAX_DEBT_S + MIN_BURST)
+def _exceeds_debt_limit(limit: FleetLimit, share: _Share) -> bool:
+    return share.fleet_bucket.count() < -(limit.rate * MAX_DEBT_S + MIN_BURST)
--- a/currantmast/direct/steering.py
+++ b/currantmast/direct/steering.py
@@ -287,7 +287,7 @@
             rate=team.rate,
             burst=team.burst,
             share_tokens=exceeded.share_tokens,
-            team_tokens=exceeded.team_tokens,
+            team_tokens=exceeded.fleet_tokens,
             silent=exceeded.silent,
         )
 
--- a/tests/test_direct_entries.py
+++ b/tests/test_direct_entries.py
@@ -174,7 +174,7 @@
     state = make_state(own, records, clock)
     for name in demands:
         team = Team(name, rate=5, burst=5)
-        state.rate_limiter.set_teams([team])
+        state.rate_limiter.replace_limits([team])
         state.rate_limiter.admit(team)
     sent = {}
     with HeartbeatSocket(Address('127.0.0.1', 0), state, clock) as heartbeats:
@@ -246,7 +246,7 @@
         heartbeats._send_to = lambda peer, heartbeat: sent.append((peer.id, heartbeat))
         heartbeats.send_heartbeats(0)
         clock.advance(2)
-        state.rate_limiter.set_teams([])
+        state.rate_limiter.replace_limits([])
         sent.clear()
         heartbeats.send_heartbeats(0)
         told = {name for name, heartbeat in sent if not heartbeat.brief}
--- a/tests/test_direct_logs.py
+++ b/tests/test_direct_logs.py
@@ -69,7 +69,7 @@
 
 def refuse_rate(harness):
     team = Team('schools', rate=1, burst=1)
-    harness.state.rate_limiter.set_teams([team])
+    harness.state.rate_limiter.replace_limits([team])
     harness.state.rate_limiter.update_peers([])
     for _ in range(3):
         harness.ask()
--- a/tests/test_direct_rates.py
+++ b/tests/test_direct_rates.py
@@ -7,9 +7,9 @@
 from currantmast.direct.rates import (
     Admitted,
     DemandReport,
+    FleetRateLimiter,
     RateExceeded,
     SharesUnknown,
-    TeamRateLimiter,
 )
 
 TEAM = Team('schools', rate=9, burst=9)
@@ -29,8 +29,8 @@
         self.last = {}
 
     def start(self):
-        rates = TeamRateLimiter(self.clock, self.rng)
-        rates.set_teams([self.team])
+        rates = FleetRateLimiter(self.clock, self.rng)
+        rates.replace_limits([self.team])
         return rates
 
     def announce(self):
@@ -173,9 +173,9 @@
 
 
 def test_team_without_a_rate_is_never_refused():
-    rates = TeamRateLimiter(ManualClock())
+    rates = FleetRateLimiter(ManualClock())
     free = Team('fitters')
-    rates.set_teams([free])
+    rates.replace_limits([free])
     assert all(isinstance(rates.admit(free), Admitted) for _ in range(1000))
 
 
@@ -184,8 +184,8 @@
 
     The refusal must not name the rate as its reason, since the logs would be wrong.
     """
-    rates = TeamRateLimiter(ManualClock())
-    rates.set_teams([TEAM])
+    rates = FleetRateLimiter(ManualClock())
+    rates.replace_limits([TEAM])
     assert rates.admit(TEAM) == SharesUnknown()
 
 
@@ -233,12 +233,12 @@
 
 def test_admissions_of_a_team_that_was_left_out_are_counted_once():
     """Guards against a long past count that empties a team's bucket at once."""
-    rates = TeamRateLimiter(ManualClock(1000))
-    rates.set_teams([TEAM])
+    rates = FleetRateLimiter(ManualClock(1000))
+    rates.replace_limits([TEAM])
     rates.update_peers([DemandReport('1', 'run', {}, {})])
-    before = rates._shares['schools'].team_bucket.count()
+    before = rates._shares['schools'].fleet_bucket.count()
     rates.update_peers([DemandReport('1', 'run', {'schools': 0.5}, {'schools': 300})])
-    assert before - rates._shares['schools'].team_bucket.count() <= 1
+    assert before - rates._shares['schools'].fleet_bucket.count() <= 1
     rates.update_peers([DemandReport('1', 'run', {}, {})])
     rates.update_peers([DemandReport('1', 'run', {'schools': 0.5}, {'schools': 302})])
-    assert before - rates._shares['schools'].team_bucket.count() <= 3
+    assert before - rates._shares['schools'].fleet_bucket.count() <= 3
--- a/tests/test_direct_steering.py
+++ b/tests/test_direct_steering.py
@@ -80,7 +80,7 @@
         self.state = InstanceState(own, Bounds(), self.clock)
         config = make_configuration(route or make_route(), **configuration)
         self.state.configuration.adopt(config)
-        self.state.rate_limiter.set_teams(config.teams.values())
+        self.state.rate_limiter.replace_limits(config.teams.values())
         self.state.targets_listed = True
         self.state.freshness.confirm(self.clock.now())
         for target in targets or (make_target('t1'), make_target('t2')):
