Keep the limits that targets name, over the whole fleet

Callers' requests reached targets in need several times as often as the limit that these had named in their answers. The class: a bound on the whole fleet that no member keeps.

A target's limit is a rate over the fleet, so the limiter of team rates divides it: shares by demand, borrowing from an estimate of the whole bucket, admissions announced in heartbeats. A choice leaves out targets without a token; a request that nobody else can take is refused at once, with the time to come back. Members tell each other what the answers they got themselves named, the newest counts, so a new run and members without an answer keep the limit, and it ends for all.

--- a/currantmast/direct/attempts.py
+++ b/currantmast/direct/attempts.py
@@ -106,6 +106,8 @@
         self._failed_answer: Answered | None = None
         self.last_choice: Choice | None = None
         self.candidates = 0
+        # Targets that were left out of the last choice because of their limits.
+        self.limited = 0
         self.no_capacity = NoCapacity(0, 0)
         self.target_ids: list[str] = []
 
@@ -140,7 +142,15 @@
             for target in self._state.targets.list_usable(admission.service)
             if self._allows(target, service)
         ]
-        return self._state.placement.choose(requirements, usable)
+        limits = self._state.target_limits
+        free = [target for target in usable if limits.has_token(target.record.id)]
+        self.limited = len(usable) - len(free)
+        choice = self._state.placement.choose(requirements, free)
+        if isinstance(choice, NoCapacity) and self.limited:
+            waits = (limits.get_wait(target.record.id) for target in usable)
+            available_in_s = min(choice.available_in_s, *filter(None, waits))
+            return msgspec.structs.replace(choice, available_in_s=available_in_s)
+        return choice
 
     def begin(self, choice: Choice) -> None:
         """Record the start of an attempt; if its target is cold, take a token for it."""
@@ -148,6 +158,7 @@
         self.candidates = choice.candidates
         self.target_ids.append(choice.target.record.id)
         self._sent += 1
+        self._state.target_limits.take_token(choice.target.record.id)
         service = self._find_service()
         if service is not None and choice.target.cold_start.is_cold():
             rate = self._get_cold_rate(choice.target, service)
--- a/currantmast/direct/heartbeats.py
+++ b/currantmast/direct/heartbeats.py
@@ -115,7 +115,7 @@
         """
         members = self._state.members
         demands = keep_largest(self._state.rate_limiter.announce(), MAX_DEMANDS)
-        if demands:
+        if demands or self._state.target_limits.has_demand():
             # Afterwards the others must still be told that there is none.
             self._active_until = self._clock.now() + RESERVE_TIMEOUT_S
         is_entry = members.own.id in members.entries
@@ -167,6 +167,7 @@
             demands=demands,
             admitted=state.rate_limiter.count_recently_admitted(),
             loads=keep_largest(state.targets.count_loads(), MAX_LOADS),
+            target_limits=state.target_limits.make_report(),
             spillover=state.placement.spillover.make_report(),
         )
 
@@ -198,6 +199,7 @@
             return
         if heartbeat.store is not None:
             state.store_health.note_peer(heartbeat.sender, heartbeat.store)
+        self._note_limits(heartbeat)
         confirmation = heartbeat.confirmation
         local_incarnation = state.members.own.incarnation
         if (
@@ -207,6 +209,14 @@
             version = state.configuration.version
             state.freshness.confirm_by_peer(confirmation, version)
 
+    def _note_limits(self, heartbeat: Heartbeat) -> None:
+        listed = {
+            target_id: named
+            for target_id, named in heartbeat.limited.named.items()
+            if self._state.targets.get(target_id) is not None
+        }
+        self._state.target_limits.note_peer(listed)
+
     def _update_from_members(self) -> None:
         state = self._state
         alive, silent = state.members.update_liveness()
@@ -218,6 +228,7 @@
             log_event('entries_selected', count=len(state.members.entries))
         if state.members_listed:
             state.rate_limiter.update_peers(state.list_demands())
+            state.target_limits.update_peers(state.list_limited_demands())
         state.targets.update_peer_loads(state.members.reports.sum_loads())
         self._update_spillover()
 
--- a/currantmast/direct/instance_state.py
+++ b/currantmast/direct/instance_state.py
@@ -44,7 +44,7 @@
         self.service_picker = WeightedRoundRobin()
         self.freshness = Freshness(clock)
         self.targets = TargetTable(clock)
-        self.target_limits = TargetLimits()
+        self.target_limits = TargetLimits(clock)
         self.cold_start_limit = ColdStartLimit(own.id)
         self.placement = Placement(own.location, clock)
         self.rate_limiter = FleetRateLimiter(clock)
@@ -74,18 +74,12 @@
         return known and not self.leaving
 
     def list_demands(self) -> tuple[DemandReport, ...]:
-        """Return the demand that the other active members reported.
+        """Return the demand that the other active members reported, by team."""
+        return self.members.reports.list_demands(self._list_expected())
 
-        The first entry instances are expected to report some. One that replaced another
-        has none before it is heard.
-        """
-        entries = self.members.entries
-        first = {
-            member_id
-            for member_id in entries.ids
-            if entries.since(member_id) <= self.members_listed_at
-        }
-        return self.members.reports.list_demands(first - {self.members.own.id})
+    def list_limited_demands(self) -> tuple[DemandReport, ...]:
+        """Return their demand by target, for the targets that name a limit."""
+        return self.members.reports.list_limited_demands(self._list_expected())
 
     def apply_bounds(self, bounds: Bounds) -> None:
         """Set the limits of the whole fleet."""
@@ -100,6 +94,20 @@
             self._divide_budgets()
         return changed
 
+    def _list_expected(self) -> frozenset[str]:
+        """Return the ids of the other members that are expected to report demand.
+
+        These are the first entry instances. One that replaced another is expected to
+        report none before it is heard.
+        """
+        entries = self.members.entries
+        first = {
+            member_id
+            for member_id in entries.ids
+            if entries.since(member_id) <= self.members_listed_at
+        }
+        return frozenset(first - {self.members.own.id})
+
     def _divide_budgets(self) -> None:
         """Divide the fleet's budgets between the entry instances."""
         entries = self.members.entries.pick(self.members.list_all())
@@ -138,6 +146,7 @@
         self._state.targets.put(value)
         if known is None or known.record.started_at_ms != value.started_at_ms:
             self._connections.close_idle(name)
+            self._state.target_limits.forget(name)
         log_event(
             'target_listed',
             target=name,
@@ -150,6 +159,7 @@
     def remove(self, name: str) -> None:
         """Remove a target and close the idle connections to it."""
         self._state.targets.remove(name)
+        self._state.target_limits.forget(name)
         self._connections.close_idle(name)
 
 
--- a/currantmast/direct/process.py
+++ b/currantmast/direct/process.py
@@ -228,6 +228,7 @@
             # Divides the rates of teams now, so that the first requests needn't wait for
             # the next heartbeat.
             self.state.rate_limiter.update_peers(self.state.list_demands())
+            self.state.target_limits.update_peers(self.state.list_limited_demands())
 
     def _run_housekeeping(self) -> None:
         while True:
--- a/currantmast/direct/rates.py
+++ b/currantmast/direct/rates.py
@@ -299,6 +299,15 @@
         self._resize()
         return self._local_demands
 
+    def has_token(self, limit: FleetLimit) -> bool:
+        """Return whether `admit` would admit a request now."""
+        share = self._shares.get(limit.name)
+        if share is None:
+            return True
+        if self._peers is None or _exceeds_debt_limit(limit, share):
+            return False
+        return share.bucket.count() >= 1 or self._may_borrow(limit, share)
+
     def admit(self, limit: FleetLimit) -> Admitted | RateExceeded | SharesUnknown:
         """Take a token of `limit` for one request, or tell why there is none."""
         share = self._shares.get(limit.name)
--- a/currantmast/direct/reports.py
+++ b/currantmast/direct/reports.py
@@ -10,6 +10,7 @@
 from currantmast.direct.rates import DemandReport
 from currantmast.direct.spillover import SpilloverReports
 from currantmast.direct.storehealth import StoreContact
+from currantmast.direct.targetlimits import TargetLimitReport
 
 # Time without a heartbeat after which look-ups no longer return a member.
 HEARTBEAT_TIMEOUT_S = 1.5
@@ -27,6 +28,9 @@
 MAX_DEMANDS = 60
 
 
+NO_TARGET_LIMITS = TargetLimitReport()
+
+
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True):
     """Newest state of a member, sent to another one.
 
@@ -55,6 +59,9 @@
         Whether demands, admissions, loads and spillover were left out.
     store : StoreContact or None
         How long the store has answered the sender; None while it doesn't.
+    target_limits : TargetLimitReport or None
+        What the sender knows of targets with limits, and sends to them; left out of
+        brief heartbeats.
     """
 
     sender: str
@@ -69,6 +76,17 @@
     spillover: SpilloverReports = {}
     brief: bool = False
     store: StoreContact | None = None
+    target_limits: TargetLimitReport | None = None
+
+    @property
+    def has_demand(self) -> bool:
+        """Whether the sender serves callers who need rates or limits of the fleet."""
+        return bool(self.demands or self.limited.demands)
+
+    @property
+    def limited(self) -> TargetLimitReport:
+        """What it tells of targets with limits; empty if nothing."""
+        return self.target_limits or NO_TARGET_LIMITS
 
 
 class ReceivedHeartbeat(msgspec.Struct, frozen=True):
@@ -108,21 +126,21 @@
     def has_demand(self, member_id: str) -> bool:
         """Return whether a member serves callers."""
         received = self._received.get(member_id)
-        if received is None or not received.heartbeat.demands:
+        if received is None or not received.heartbeat.has_demand:
             return False
         return self._measure_age(received) <= RESERVE_TIMEOUT_S
 
     def list_demands(self, expected_ids: Set[str]) -> tuple[DemandReport, ...]:
-        """Return the demand of the members that are expected to report it, and of others.
+        """Return the demand by team of the members that are expected to report it.
 
-        The others are reserves that serve callers, or did so a moment ago.
+        Others are added that report some: reserves that serve callers, or did so a
+        moment ago.
         """
-        reserves = {
-            member_id
-            for member_id, received in self._received.items()
-            if self._measure_age(received) <= MAX_RESERVE_AGE_S
-        }
-        return tuple(map(self._get_demand, expected_ids | reserves))
+        return tuple(map(self._get_demand, self._list_reporting(expected_ids)))
+
+    def list_limited_demands(self, expected_ids: Set[str]) -> tuple[DemandReport, ...]:
+        """Return the same by target, for the targets that name a limit."""
+        return tuple(map(self._get_limited_demand, self._list_reporting(expected_ids)))
 
     def list_spillover(self, member_ids: Iterable[str]) -> tuple[SpilloverReports, ...]:
         """Return the recent reports of members about other regions."""
@@ -140,18 +158,41 @@
                 loads.update(received.heartbeat.loads)
         return loads
 
+    def _list_reporting(self, expected_ids: Set[str]) -> Set[str]:
+        reserves = {
+            member_id
+            for member_id, received in self._received.items()
+            if self._measure_age(received) <= MAX_RESERVE_AGE_S
+        }
+        return expected_ids | reserves
+
     def _get_demand(self, member_id: str) -> DemandReport:
         received = self._received.get(member_id)
         if received is None:
-            return DemandReport(member_id, '', {}, recent=False)
+            return _make_unheard(member_id)
         heartbeat = received.heartbeat
+        return self._make_demand(received, heartbeat.demands, heartbeat.admitted)
+
+    def _get_limited_demand(self, member_id: str) -> DemandReport:
+        received = self._received.get(member_id)
+        if received is None:
+            return _make_unheard(member_id)
+        limited = received.heartbeat.limited
+        return self._make_demand(received, limited.demands, limited.admitted)
+
+    def _make_demand(
+        self,
+        received: ReceivedHeartbeat,
+        demands: dict[str, float],
+        admitted: dict[str, int],
+    ) -> DemandReport:
         age_s = self._measure_age(received)
         return DemandReport(
-            member_id,
-            heartbeat.incarnation,
-            heartbeat.demands,
-            heartbeat.admitted,
-            recent=age_s <= HEARTBEAT_TIMEOUT_S or not heartbeat.demands,
+            received.heartbeat.sender,
+            received.heartbeat.incarnation,
+            demands,
+            admitted,
+            recent=age_s <= HEARTBEAT_TIMEOUT_S or not demands,
             age_s=age_s,
         )
 
@@ -165,6 +206,10 @@
         return self._clock.now() - received.arrived_at
 
 
+def _make_unheard(member_id: str) -> DemandReport:
+    return DemandReport(member_id, '', {}, recent=False)
+
+
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Heartbeat)
 
--- a/currantmast/direct/steering.py
+++ b/currantmast/direct/steering.py
@@ -365,6 +365,7 @@
             strange=attempts.no_capacity.strange,
             late=attempts.no_capacity.late,
             held=attempts.no_capacity.held,
+            limited=attempts.limited,
             share=self._state.placement.spillover.get_share(admission.service),
             version=self._state.configuration.version,
         )
