Spend the tokens of a limited target on objects it caches, and draw spare ones

Affinity is now found among all targets, with or without a token; the last token is kept for objects that the target caches, and what it can't take goes to the next target without a limit. Requests that would use a limit count as demand, and tokens that no share uses are drawn by chance, weighed by it.

The types of a choice have a module of their own.

--- a/currantmast/direct/attempts.py
+++ b/currantmast/direct/attempts.py
@@ -5,9 +5,9 @@
 from currantmast.clocks import Clock
 from currantmast.decisions.retries import finalize_outcome
 from currantmast.direct.answers import Answer
+from currantmast.direct.choices import Choice, NoCapacity, Requirements
 from currantmast.direct.instance_state import InstanceState
 from currantmast.direct.model import Configuration, Route, Service, Team
-from currantmast.direct.placement import Choice, NoCapacity, Requirements
 from currantmast.direct.requests import CallerRequest, TargetAnswer
 from currantmast.direct.targets import Target
 from currantmast.outcomes import NotRun, OutcomeUnknown, Reason
@@ -106,7 +106,7 @@
         self._failed_answer: Answered | None = None
         self.last_choice: Choice | None = None
         self.candidates = 0
-        # Targets that were left out of the last choice because of their limits.
+        # Targets whose limits left no token at the last choice.
         self.limited = 0
         self.no_capacity = NoCapacity(0, 0)
         self.target_ids: list[str] = []
@@ -131,24 +131,25 @@
         admission = self._admission
         service = self._find_service()
         now = self._clock.now()
-        requirements = Requirements(
-            service=admission.service,
-            object_key=admission.object_key,
-            time_left_s=admission.deadline_at - now,
-            objective_left_s=admission.objective_at - now,
-        )
         usable = [
             target
             for target in self._state.targets.list_usable(admission.service)
             if self._allows(target, service)
         ]
         limits = self._state.target_limits
-        free = [target for target in usable if limits.has_token(target.record.id)]
-        self.limited = len(usable) - len(free)
-        choice = self._state.placement.choose(requirements, free)
-        if isinstance(choice, NoCapacity) and self.limited:
-            waits = (limits.get_wait(target.record.id) for target in usable)
-            available_in_s = min(choice.available_in_s, *filter(None, waits))
+        limited = limits.select_limited(target.record.id for target in usable)
+        self.limited = len(limited.exhausted)
+        requirements = Requirements(
+            service=admission.service,
+            object_key=admission.object_key,
+            time_left_s=admission.deadline_at - now,
+            objective_left_s=admission.objective_at - now,
+            limited=limited,
+        )
+        choice = self._state.placement.choose(requirements, usable)
+        if isinstance(choice, NoCapacity) and limited.exhausted:
+            wait_s = min(map(limits.get_wait, limited.exhausted))
+            available_in_s = min(choice.available_in_s, wait_s)
             return msgspec.structs.replace(choice, available_in_s=available_in_s)
         return choice
 
--- a/currantmast/direct/placement.py
+++ b/currantmast/direct/placement.py
@@ -6,7 +6,6 @@
 """
 
 from collections.abc import Iterable
-from enum import Enum
 
 import msgspec
 
@@ -16,6 +15,13 @@
     find_affinity_targets,
     rank_object,
 )
+from currantmast.direct.choices import (
+    Choice,
+    NoCapacity,
+    Obstacle,
+    Requirements,
+    SpilloverReason,
+)
 from currantmast.direct.estimates import ObjectCounts, ProcessingTimes, RoundTripTimes
 from currantmast.direct.model import Location
 from currantmast.direct.spillover import SpilloverControl
@@ -47,116 +53,6 @@
 MIN_CACHED_CHANCE = 0.4
 
 
-class Requirements(msgspec.Struct, frozen=True):
-    """What a request requires of a target.
-
-    Parameters
-    ----------
-    service : str
-        Service that the request is for.
-    object_key : str
-        Object that the request concerns; empty when unknown.
-    time_left_s : float
-        Seconds until the caller or the route times out.
-    objective_left_s : float
-        Seconds until the answer misses the latency objective of the route.
-    """
-
-    service: str
-    object_key: str
-    time_left_s: float
-    objective_left_s: float
-
-
-class SpilloverReason(Enum):
-    """Why a request runs outside the local region.
-
-    No local target has affinity to its object (`unkept`); those that have are at their
-    load limit (`full`) or would answer too late (`late`); a target in another region has
-    a lower cost (`faster`); or the request is part of the region's spillover (`shared`).
-    """
-
-    none = 'none'
-    unkept = 'unkept'
-    full = 'full'
-    late = 'late'
-    faster = 'faster'
-    shared = 'shared'
-
-
-class Choice(msgspec.Struct, frozen=True):
-    """A target for a request, with the expected times.
-
-    Parameters
-    ----------
-    target : Target
-        The target.
-    round_trip_s, wait_s, processing_s : float
-        Expected round trip, queueing time and processing time, in seconds.
-    chance : float
-        Chance from 0 to 1 that the target caches the object.
-    cached : bool
-        Whether this instance sent the object to the target recently.
-    candidates : int
-        Number of targets compared.
-    load : int
-        Running and queued requests of the target, as known when it was compared.
-    spillover_reason : SpilloverReason
-        Why the target is in another region; `none` when it is in the local one.
-    """
-
-    target: Target
-    round_trip_s: float
-    wait_s: float
-    processing_s: float
-    chance: float
-    cached: bool
-    candidates: int
-    load: int = 0
-    spillover_reason: SpilloverReason = SpilloverReason.none
-
-    @property
-    def expected_s(self) -> float:
-        """Expected latency in seconds."""
-        return self.round_trip_s + self.wait_s + self.processing_s
-
-
-class Obstacle(Enum):
-    """Why a request can't go to a target.
-
-    The target is at its load limit (`full`), is busy and has no affinity to the object
-    (`strange`), or would answer too late (`late`).
-    """
-
-    full = 'full'
-    strange = 'strange'
-    late = 'late'
-
-
-class NoCapacity(msgspec.Struct, frozen=True):
-    """No target can serve the request in time.
-
-    Parameters
-    ----------
-    candidates : int
-        Number of targets compared.
-    available_in_s : float
-        Seconds until a target is expected to have capacity.
-    full, strange, late : int
-        Number of targets for each `Obstacle`.
-    held : int
-        Targets with capacity on the side (local or other regions) that the request may
-        not use.
-    """
-
-    candidates: int
-    available_in_s: float
-    full: int = 0
-    strange: int = 0
-    late: int = 0
-    held: int = 0
-
-
 class Placement:
     """Chooses targets by expected latency and penalties.
 
@@ -195,12 +91,7 @@
         affinity_targets = AffinityTargets()
         if requirements.object_key:
             self.object_counts.note(requirements.service, requirements.object_key)
-            affinity_targets = find_affinity_targets(
-                requirements.object_key,
-                candidates,
-                self.object_counts.count(requirements.service),
-                self._location.region,
-            )
+            affinity_targets = self._find_affinity_targets(requirements, candidates)
         options = [
             self._estimate(requirements, target, affinity_targets, len(candidates))
             for target in candidates
@@ -228,6 +119,28 @@
         """Record the latency of a request, to compare it with the expected one."""
         self.processing_times.record_overrun(service, elapsed_s / choice.expected_s)
 
+    def _find_affinity_targets(
+        self, requirements: Requirements, candidates: list[Target]
+    ) -> AffinityTargets:
+        """Return the targets that cache the object, and those in place of limited ones."""
+        found = self._find_among(requirements, candidates)
+        if not found.primary & requirements.limited.exhausted:
+            return found
+        scarce = requirements.limited.scarce
+        others = [target for target in candidates if target.record.id not in scarce]
+        replacing = self._find_among(requirements, others).primary
+        return AffinityTargets(found.primary, found.secondary | replacing)
+
+    def _find_among(
+        self, requirements: Requirements, targets: list[Target]
+    ) -> AffinityTargets:
+        return find_affinity_targets(
+            requirements.object_key,
+            targets,
+            self.object_counts.count(requirements.service),
+            self._location.region,
+        )
+
     def _restrict_to_side(
         self, requirements: Requirements, options: list[Choice], feasible: list[Choice]
     ) -> list[Choice]:
@@ -291,6 +204,8 @@
     def _may_queue(self, requirements: Requirements, option: Choice) -> bool:
         """Return whether a target without capacity may queue the request after all."""
         target = option.target
+        if target.record.id in requirements.limited.exhausted:
+            return False
         max_load = round(target.record.slots * MAX_LOAD_PER_SLOT_ON_SIDE)
         has_affinity = option.chance > 0 or not requirements.object_key
         in_time = option.expected_s <= requirements.time_left_s * MAX_TIME_FRACTION
@@ -364,9 +279,12 @@
     ) -> Obstacle | None:
         target = option.target
         slots = target.record.slots
+        if target.record.id in requirements.limited.exhausted:
+            return Obstacle.limited
         if target.load >= target.limit_load(max(1, round(slots * MAX_LOAD_PER_SLOT))):
             return Obstacle.full
-        if requirements.object_key and not option.chance and target.load:
+        is_busy = target.load > 0 or target.record.id in requirements.limited.scarce
+        if requirements.object_key and not option.chance and is_busy:
             # An object that isn't cached takes longer and evicts cached ones, so it may
             # only go to an idle target.
             return Obstacle.strange
--- a/currantmast/direct/rates.py
+++ b/currantmast/direct/rates.py
@@ -299,14 +299,38 @@
         self._resize()
         return self._local_demands
 
-    def has_token(self, limit: FleetLimit) -> bool:
-        """Return whether `admit` would admit a request now."""
+    def has_token(self, limit: FleetLimit, spare: float = 0) -> bool:
+        """Return whether a request may be sent now that leaves `spare` tokens.
+
+        While all members want more than the limit, the tokens that no share uses are
+        drawn by chance, so that about as many are taken as there are before the others
+        hear of it.
+        """
         share = self._shares.get(limit.name)
         if share is None:
             return True
         if self._peers is None or _exceeds_debt_limit(limit, share):
             return False
-        return share.bucket.count() >= 1 or self._may_borrow(limit, share)
+        if share.bucket.count() >= 1 + spare:
+            return True
+        if not self._knows_demands:
+            return False
+        left = share.fleet_bucket.count() - spare
+        contenders = max(1, self._unannounced.get(limit.name, 0))
+        return left >= 1 and self._rng.random() * contenders < left
+
+    def take(self, limit: FleetLimit) -> None:
+        """Take a token for a request that is sent."""
+        share = self._shares.get(limit.name)
+        if share is not None:
+            share.bucket.take(1)
+            self._count_admission(share)
+
+    def record_demand(self, limit: FleetLimit, requests: float) -> None:
+        """Record requests that would use the limit if it had tokens."""
+        share = self._shares.get(limit.name)
+        if share is not None:
+            share.demand.record(requests)
 
     def admit(self, limit: FleetLimit) -> Admitted | RateExceeded | SharesUnknown:
         """Take a token of `limit` for one request, or tell why there is none."""
@@ -319,20 +343,23 @@
         if _exceeds_debt_limit(limit, share):
             return self._make_refusal(share, -share.fleet_bucket.count() / limit.rate)
         if share.bucket.take(1) or self._may_borrow(limit, share):
-            share.fleet_bucket.spend(1)
-            share.admitted += 1
-            share.admitted_at = self._clock.now()
+            self._count_admission(share)
             return Admitted()
         return self._make_refusal(share, share.bucket.get_wait(1))
 
+    def _count_admission(self, share: _Share) -> None:
+        share.fleet_bucket.spend(1)
+        share.admitted += 1
+        share.admitted_at = self._clock.now()
+
     def _make_refusal(self, share: _Share, wait_s: float) -> RateExceeded:
         silent = sum(not peer.recent for peer in self._peers or ())
         return RateExceeded(
             wait_s, share.bucket.count(), share.fleet_bucket.count(), silent
         )
 
-    def _may_borrow(self, limit: FleetLimit, share: _Share) -> bool:
-        """Return whether the fleet's bucket holds a token that no other may have taken."""
+    def _may_borrow(self, limit: FleetLimit, share: _Share, wanted: float = 1) -> bool:
+        """Return whether the fleet's bucket holds tokens that no other may have taken."""
         if not self._knows_demands:
             return False
         tokens = share.fleet_bucket.count() + self._slack
--- a/currantmast/direct/steering.py
+++ b/currantmast/direct/steering.py
@@ -15,11 +15,11 @@
     Attempts,
     TryLater,
 )
+from currantmast.direct.choices import Choice, NoCapacity
 from currantmast.direct.exchanges import TargetConnections
 from currantmast.direct.inbound import InboundRequest, OutboundAnswer
 from currantmast.direct.instance_state import InstanceState
 from currantmast.direct.model import Route, Team
-from currantmast.direct.placement import Choice, NoCapacity
 from currantmast.direct.rates import RateExceeded, SharesUnknown
 from currantmast.direct.requests import (
     AttemptMetadata,
--- a/currantmast/direct/targetlimits.py
+++ b/currantmast/direct/targetlimits.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Iterable, Mapping
+from random import Random
 
 import msgspec
 
@@ -14,10 +15,14 @@
 from currantmast.direct.rates import DemandReport, FleetRateLimiter
 from currantmast.runtime.logs import log_event
 
-# Requests that may come at once after a pause: one, and what the rate gives in this time
-# in seconds.
+# Requests that may come at once after a pause: these, and what the rate gives in a time in
+# seconds.
+MIN_BURST = 2.0
 BURST_S = 1.0
 
+# Tokens that are kept for requests whose objects the target caches.
+SPARE_TOKENS = 1.0
+
 # Lowest rate in requests per second that is kept. A target is asked at least this often
 # whether it still names its limit.
 MIN_RATE = 0.2
@@ -67,6 +72,21 @@
     admitted: dict[str, int] = {}
 
 
+class LimitedTargets(msgspec.Struct, frozen=True):
+    """Targets whose limits leave no token for a request, by id.
+
+    Parameters
+    ----------
+    exhausted : frozenset of str
+        Those to which no request may be sent now.
+    scarce : frozenset of str
+        Those whose tokens are kept for requests with affinity, and the exhausted ones.
+    """
+
+    exhausted: frozenset[str] = frozenset()
+    scarce: frozenset[str] = frozenset()
+
+
 class _Statement(msgspec.Struct, frozen=True):
     """Newest statement about the limit of a target.
 
@@ -92,15 +112,17 @@
     ----------
     clock : Clock
         Source of time.
+    rng : Random, optional
+        Random number generator.
     """
 
     __slots__ = ('_clock', '_limiter', '_limits', '_statements')
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, rng: Random | None = None) -> None:
         self._clock = clock
         self._statements: dict[str, _Statement] = {}
         self._limits: dict[str, TargetLimit] = {}
-        self._limiter = FleetRateLimiter(clock)
+        self._limiter = FleetRateLimiter(clock, rng)
 
     def __len__(self) -> int:
         """Return the number of targets that name a limit."""
@@ -131,16 +153,24 @@
         if self._statements.pop(target_id, None) is not None:
             self._update_limits()
 
-    def has_token(self, target_id: str) -> bool:
-        """Return whether this instance may send a request to a target now."""
-        limit = self._limits.get(target_id)
-        return limit is None or self._limiter.has_token(limit)
+    def select_limited(self, target_ids: Iterable[str]) -> LimitedTargets:
+        """Return which of the targets have no token, or none to spare, for a request.
+
+        The request counts as demand for each of them in equal parts.
+        """
+        ids = tuple(target_ids)
+        limits = [self._limits[known] for known in ids if known in self._limits]
+        for limit in limits:
+            self._limiter.record_demand(limit, 1 / len(ids))
+        exhausted = self._select_without(limits, 0)
+        scarce = self._select_without(limits, SPARE_TOKENS)
+        return LimitedTargets(exhausted, exhausted | scarce)
 
     def take_token(self, target_id: str) -> None:
         """Take a token for a request that is sent to a target."""
         limit = self._limits.get(target_id)
         if limit is not None:
-            self._limiter.admit(limit)
+            self._limiter.take(limit)
 
     def get_wait(self, target_id: str) -> float:
         """Return about how many seconds it takes the whole fleet to get a token."""
@@ -164,6 +194,14 @@
             return None
         return TargetLimitReport(named, demands, admitted)
 
+    def _select_without(
+        self, limits: Iterable[TargetLimit], spare: float
+    ) -> frozenset[str]:
+        """Return the targets without a token beyond `spare` ones."""
+        return frozenset(
+            limit.name for limit in limits if not self._limiter.has_token(limit, spare)
+        )
+
     def _record(self, target_id: str, statement: _Statement) -> None:
         known = self._statements.get(target_id)
         self._statements[target_id] = statement
@@ -202,4 +240,4 @@
 
 def _make_limit(target_id: str, rate: float) -> TargetLimit:
     kept_rate = max(MIN_RATE, rate)
-    return TargetLimit(target_id, kept_rate, 1 + kept_rate * BURST_S)
+    return TargetLimit(target_id, kept_rate, MIN_BURST + kept_rate * BURST_S)
--- a/tests/fleetreplay.py
+++ b/tests/fleetreplay.py
@@ -10,8 +10,9 @@
 from itertools import count
 
 from currantmast.clocks import ManualClock
+from currantmast.direct.choices import NoCapacity, Requirements
 from currantmast.direct.model import InstanceRecord, Location, TargetRecord
-from currantmast.direct.placement import NoCapacity, Placement, Requirements
+from currantmast.direct.placement import Placement
 from currantmast.direct.spillover import measure_capacity
 from currantmast.direct.targets import Load, Target
 from currantmast.messages import Address
--- a/tests/limitedfleet.py
+++ b/tests/limitedfleet.py
@@ -19,6 +19,7 @@
 )
 from currantmast.direct.reports import decode_heartbeat, encode_heartbeat
 from currantmast.direct.steering import Steering
+from currantmast.direct.targetlimits import TargetLimits
 from currantmast.messages import Address
 from currantmast.platform import wire
 
@@ -88,10 +89,11 @@
 class LimitedInstance:
     """One instance with its heartbeats."""
 
-    def __init__(self, record, records, target, incarnation='run'):
+    def __init__(self, record, records, target, rng, incarnation='run'):
         self.clock = target.clock
         own = InstanceRecord(record.id, incarnation, record.location, ADDRESS, ADDRESS)
         self.state = InstanceState(own, Bounds(), self.clock)
+        self.state.target_limits = TargetLimits(self.clock, rng)
         self.state.configuration.adopt(
             Configuration(1, (make_route(),), {'desk': Service('desk')}, {}, {})
         )
@@ -131,7 +133,7 @@
         self.target = LimitedTarget(self.clock)
         self.records = [make_record(number) for number in range(size)]
         self.instances = {
-            record.id: LimitedInstance(record, self.records, self.target)
+            record.id: LimitedInstance(record, self.records, self.target, rng)
             for record in self.records
         }
         self.cut_off = set()
@@ -172,7 +174,11 @@
         self.instances[name].heartbeats.__exit__()
         record = self.instances[name].state.members.own
         self.instances[name] = LimitedInstance(
-            record, self.records, self.target, incarnation=f'run-{self.clock.now()}'
+            record,
+            self.records,
+            self.target,
+            self.rng,
+            incarnation=f'run-{self.clock.now()}',
         )
         self.target.told_at.pop(name, None)
 
--- a/tests/test_direct_placement.py
+++ b/tests/test_direct_placement.py
@@ -6,14 +6,11 @@
 
 from currantmast.clocks import ManualClock
 from currantmast.direct.affinity import find_affinity_targets
+from currantmast.direct.choices import Choice, NoCapacity, Requirements
 from currantmast.direct.model import InstanceRecord, Location, TargetRecord
-from currantmast.direct.placement import (
-    Choice,
-    NoCapacity,
-    Placement,
-    Requirements,
-)
+from currantmast.direct.placement import Placement
 from currantmast.direct.spillover import measure_capacity
+from currantmast.direct.targetlimits import LimitedTargets
 from currantmast.direct.targets import Target
 from currantmast.messages import Address
 
@@ -346,3 +343,34 @@
     # Each object is uncached once in its local region and once in the overflow region.
     assert simulation.uncached_runs <= 2 * OBJECTS * len(REGIONS) + 0.05 * offered
     assert outcomes['in time'] >= 0.85 * offered
+
+
+def choose_limited(exhausted, scarce):
+    """Return the choice for one object, and the id of the target that is to cache it."""
+    clock = ManualClock()
+    targets = make_targets(clock, overrides={'skye': 0, 'uist': 0})
+    caching = find_affinity_targets('7', targets, 1, 'fife').primary
+    others = {target.record.id for target in targets} - caching
+    ids = {'caching': caching, 'others': others, 'none': frozenset()}
+    limited = LimitedTargets(
+        exhausted=frozenset(ids[exhausted]),
+        scarce=frozenset(ids[exhausted] | ids[scarce]),
+    )
+    requirements = Requirements('desk', '7', TIMEOUT_S, OBJECTIVE_S, limited)
+    return Placement(Location('fife', 'fife-a'), clock).choose(
+        requirements, targets
+    ), caching
+
+
+def test_scarce_tokens_of_a_target_go_to_the_objects_that_it_caches():
+    """Guards against limited targets that spend their tokens on uncached objects."""
+    choice, caching = choose_limited(exhausted='none', scarce='caching')
+    assert choice.target.record.id in caching
+    refusal, _ = choose_limited(exhausted='caching', scarce='others')
+    assert isinstance(refusal, NoCapacity)
+
+
+def test_object_of_an_exhausted_target_goes_to_one_without_a_limit():
+    choice, caching = choose_limited(exhausted='caching', scarce='none')
+    assert choice.target.record.id not in caching
+    assert choice.chance > 0
--- a/tests/test_direct_targetlimits.py
+++ b/tests/test_direct_targetlimits.py
@@ -1,5 +1,6 @@
 """Limits that targets name for the requests of the whole fleet."""
 
+import os
 import random
 
 import msgspec
@@ -11,11 +12,12 @@
 from currantmast.platform import wire
 
 LOAD = 15
+SEED = int(os.environ.get('LIMIT_SEED', '3'))
 
 
 @pytest.fixture
 def fleet(request):
-    with LimitedFleet(getattr(request, 'param', 9), random.Random(3)) as running:
+    with LimitedFleet(getattr(request, 'param', 9), random.Random(SEED)) as running:
         running.run(LOAD, 2)
         yield running
 
