--- a/currantmast/direct/following.py
+++ b/currantmast/direct/following.py
@@ -28,6 +28,9 @@
 # again.
 HANG_MARGIN_S = 1.0
 
+# Shortest wait in seconds of a watch of targets, however short the recovery time is.
+MIN_TARGETS_WAIT_S = 0.5
+
 
 class Topic(Enum):
     """Group of store entries that one follower reads."""
@@ -236,7 +239,8 @@
     def _choose_wait(self) -> float:
         timing = WATCH_TIMINGS[self.topic]
         if self.topic is Topic.targets:
-            return min(timing.wait_s, self._health.recovery_s - HANG_MARGIN_S)
+            longest_s = self._health.recovery_s - HANG_MARGIN_S
+            return max(MIN_TARGETS_WAIT_S, min(timing.wait_s, longest_s))
         if timing.min_wait_s is None:
             return timing.wait_s
         return self._rng.uniform(timing.min_wait_s, timing.wait_s)
