Tell of 60 limited targets in a heartbeat, those that answered last

With hundreds of targets that name a limit each heartbeat would have told of all of them, at every member; what one leaves out, the members tell that had the newest answer. Choices without any limit cost nothing more than before.

--- a/currantmast/direct/targetlimits.py
+++ b/currantmast/direct/targetlimits.py
@@ -31,6 +31,9 @@
 # Seconds for which the other members are told that a target named no limit.
 ENDED_S = 5.0
 
+# Targets of which a heartbeat tells what they named: those that answered last.
+MAX_NAMED = 60
+
 
 class TargetLimit(msgspec.Struct, frozen=True):
     """Limit of one target: its id, requests per second and the size of a burst."""
@@ -159,6 +162,8 @@
 
         The request counts as demand for each of them in equal parts.
         """
+        if not self._limits:
+            return LimitedTargets()
         ids = tuple(target_ids)
         limits = [self._limits[known] for known in ids if known in self._limits]
         for limit in limits:
@@ -227,16 +232,14 @@
 
     def _list_own(self) -> dict[str, NamedLimit]:
         now = self._clock.now()
-        own = {
-            target_id: NamedLimit(statement.rate, now - statement.answered_at)
+        told = [
+            (target_id, NamedLimit(statement.rate, now - statement.answered_at))
             for target_id, statement in self._statements.items()
             if statement.own
-        }
-        return {
-            target_id: named
-            for target_id, named in own.items()
-            if named.rate is not None or named.age_s < ENDED_S
-        }
+            and (statement.rate is not None or now - statement.answered_at < ENDED_S)
+        ]
+        told.sort(key=lambda item: item[1].age_s)
+        return dict(told[:MAX_NAMED])
 
 
 def _make_limit(target_id: str, rate: float) -> TargetLimit:
