--- a/tests/test_direct_targetlimits.py
+++ b/tests/test_direct_targetlimits.py
@@ -70,6 +70,7 @@
     assert fleet.target.count_since(since) == LOAD * 2
 
 
+@pytest.mark.parametrize('fleet', [9, 60], indirect=True)
 def test_limit_under_the_prefixed_header_is_kept(fleet):
     fleet.target.header = 'X-Currantmast-Server-Limit'
     fleet.target.rate = 1.1
@@ -77,6 +78,7 @@
     assert fleet.target.measure_excess() <= 0
 
 
+@pytest.mark.parametrize('fleet', [9, 60], indirect=True)
 def test_instance_that_starts_again_keeps_the_limit(fleet):
     """Guards against a new run that knows of no limit and is told none for a while."""
     fleet.target.rate = 1.1
@@ -87,6 +89,7 @@
     assert fleet.target.measure_excess() <= 0
 
 
+@pytest.mark.parametrize('fleet', [9, 60], indirect=True)
 def test_instances_that_do_not_hear_each_other_keep_the_limit(fleet):
     """Guards against a share that rises when the others fall silent."""
     fleet.target.rate = 1.1
@@ -98,6 +101,7 @@
     assert fleet.target.measure_excess() <= 0
 
 
+@pytest.mark.parametrize('fleet', [9, 60], indirect=True)
 def test_request_that_only_a_target_at_its_limit_could_take_is_refused_at_once(fleet):
     fleet.target.rate = 0.5
     fleet.run(LOAD, 5)
