--- a/currantmast/direct/following.py
+++ b/currantmast/direct/following.py
@@ -147,6 +147,7 @@
         '_backoff_s',
         '_clock',
         '_health',
+        '_last_error',
         '_last_revision',
         '_missing',
         '_on_read',
@@ -184,6 +185,8 @@
         self._missing: set[str] = set()
         self._health = health
         self._store_lost = False
+        # Error of the last call; empty after a successful one.
+        self._last_error = ''
         self._backoff_s = FIRST_BACKOFF_S
 
     def __repr__(self) -> str:
@@ -210,7 +213,7 @@
             return 0
         except StoreError as error:
             return self._note_failure(error, sent_at)
-        self._note_success()
+        self._note_success(update.revision)
         is_full_list = self._revision is None
         self._revision = update.revision
         self._last_revision = max(self._last_revision, update.revision)
@@ -300,16 +303,22 @@
 
     def _note_failure(self, error: StoreError, sent_at: float) -> float:
         self._health.note_failure(sent_at)
-        if not self._store_lost:
+        if str(error) != self._last_error:
+            # A different error tells of another cause, also within one outage.
             log_event(
-                'store_lost', level='WARNING', topic=self.topic.value, error=error
+                'store_read_failed' if self._store_lost else 'store_lost',
+                level='WARNING',
+                topic=self.topic.value,
+                error=error,
+                revision=self._last_revision,
             )
         self._store_lost = True
+        self._last_error = str(error)
         pause_s = self._backoff_s * self._rng.uniform(MIN_BACKOFF_FRACTION, 1)
         self._backoff_s = min(MAX_BACKOFF_S, self._backoff_s * 2)
         return pause_s
 
-    def _note_success(self) -> None:
+    def _note_success(self, revision: int) -> None:
         self._backoff_s = FIRST_BACKOFF_S
         self._health.note_success()
         if self._store_lost:
@@ -317,7 +326,9 @@
             log_event(
                 'store_regained',
                 topic=self.topic.value,
+                revision=revision,
                 outage_s=outage.length_s if outage else None,
                 unnoticed_s=outage.unnoticed_s if outage else None,
             )
         self._store_lost = False
+        self._last_error = ''
--- a/currantmast/direct/freshness.py
+++ b/currantmast/direct/freshness.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from currantmast.clocks import Clock
+from currantmast.runtime.logs import log_event
 
 # Longest time from the check of the lease until a target may start to run the request.
 LEASE_MARGIN_S = 0.7
@@ -52,11 +53,13 @@
         Source of time.
     """
 
-    __slots__ = ('_clock', '_confirmed_at')
+    __slots__ = ('_clock', '_confirmed_at', 'newest_version')
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._confirmed_at = -math.inf
+        # Newest configuration version that a peer said it has in force.
+        self.newest_version = 0
 
     def __repr__(self) -> str:
         """Return a short description for debugging."""
@@ -79,6 +82,7 @@
         arrived at the peer no earlier than it was sent, so `echoed_sent_at` + `offset_s` is
         no later than the peer's read. A positive offset is treated as 0.
         """
+        self._note_version(confirmation.version, local_version)
         if confirmation.version != local_version or not local_version:
             return False
         read_at = confirmation.echoed_sent_at + min(0, confirmation.offset_s)
@@ -99,3 +103,10 @@
             Time in seconds within which a withdrawn key must stop working.
         """
         return self.age() < revoke_s - LEASE_MARGIN_S
+
+    def _note_version(self, version: int, local_version: int) -> None:
+        if version > max(self.newest_version, local_version):
+            log_event(
+                'configuration_behind', version=local_version, peer_version=version
+            )
+        self.newest_version = max(self.newest_version, version)
--- a/currantmast/direct/queries.py
+++ b/currantmast/direct/queries.py
@@ -57,6 +57,7 @@
         state = self._state
         gauges = {
             'configuration_version': state.configuration.version,
+            'configuration_version_of_peers': state.freshness.newest_version,
             'configuration_age_seconds': state.freshness.age(),
             'targets': len(state.targets),
             'targets_limited': len(state.target_limits),
