--- a/currantmast/standins/platformstore.py
+++ b/currantmast/standins/platformstore.py
@@ -1,5 +1,6 @@
 """Stand-in of the store of the users' platform, as its published pages describe it."""
 
+import copy
 from collections import deque
 from collections.abc import Callable
 from http import HTTPStatus
@@ -49,6 +50,21 @@
     deleted: bool
 
 
+class StoreCopy(msgspec.Struct, frozen=True):
+    """What a copy of the store holds.
+
+    Parameters
+    ----------
+    revision : int
+        Revision at which it was taken.
+    stored : dict
+        The objects, by kind and name.
+    """
+
+    revision: int
+    stored: dict[tuple[str, str], dict[str, Any]]
+
+
 class PlatformStore:
     """Objects by kind and name with one revision counter, lists and watches.
 
@@ -69,6 +85,7 @@
         self._history: deque[_Change] = deque(maxlen=HISTORY_KEPT)
         self._revision = 1
         self._forgotten = 0
+        self._era = 1
         self._changed = Event()
         self._server = FrontServer(address, self._answer, CallerLimits, BootClock())
         self.address = self._server.address
@@ -103,6 +120,18 @@
         self._history.clear()
         self._forgotten = self._revision
 
+    def take_copy(self) -> StoreCopy:
+        """Return a copy from which the store can be restored."""
+        return StoreCopy(self._revision, copy.deepcopy(self._stored))
+
+    def restore(self, taken: StoreCopy) -> None:
+        """Go back to a copy: later writes are lost, and a new era begins."""
+        self._stored = copy.deepcopy(taken.stored)
+        self._revision = taken.revision
+        self._history.clear()
+        self._forgotten = taken.revision
+        self._era += 1
+
     def _store(self, kind: str, name: str, spec: Any) -> dict[str, Any]:
         meta = {'name': name, 'created': self._revision, 'finalizers': []}
         stored = {'meta': {**meta, 'deleting': False}, 'spec': spec, 'status': None}
@@ -118,6 +147,11 @@
         self._changed.clear()
 
     def _answer(self, inbound: InboundRequest) -> OutboundAnswer:
+        answer = self._answer_in_era(inbound)
+        headers = (*answer.headers, ('Store-Era', str(self._era)))
+        return msgspec.structs.replace(answer, headers=headers)
+
+    def _answer_in_era(self, inbound: InboundRequest) -> OutboundAnswer:
         self.calls.append(f'{inbound.method} {inbound.url}')
         gevent.sleep(self.faults.delay_s)
         if self.faults.outage:
@@ -159,7 +193,7 @@
     def _watch(self, kind: str, revision: int, wait_ms: int) -> OutboundAnswer:
         until = BootClock().now() + min(MAX_WAIT_S, wait_ms / 1000)
         while True:
-            if revision < self._forgotten:
+            if not self._forgotten <= revision <= self._revision:
                 return OutboundAnswer(HTTPStatus.GONE)
             events = self._list_events(kind, revision)
             left_s = until - BootClock().now()
