Compare positions in the store within its era only

Cause: followers, relays and reserves compared bare revisions. After a restore the store gives its newest revisions out again, so entry instances took each list as outdated until the counter passed the old one, reserves watched their relays from revisions that these hadn't reached, and a watch from a revision given out anew missed changes.

A position is now an era (header Store-Era, in either spelling) and a revision, ordered by both, wherever a revision was kept or passed on: follower, record of a relay, call of a reserve and its answer, pages of a list, answer of a watch. A watch that ends in another era, and a relay asked for an earlier era, say that the history is gone; a relay that is an era behind says that it can't answer. The class: order or identity taken from a counter whose owner can fall back.

--- a/currantmast/direct/following.py
+++ b/currantmast/direct/following.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from currantmast.clocks import Clock
+from currantmast.direct.positions import START, Position
 from currantmast.direct.storehealth import StoreHealth
 from currantmast.errors import StoreError, StoreUnavailable, WatchExpired
 from currantmast.runtime.logs import log_event
@@ -86,19 +87,19 @@
 
 
 class StoreUpdate(msgspec.Struct, frozen=True):
-    """Entries that a list or a watch returned, and the revision to watch from next.
+    """Entries that a list or a watch returned, and the position to watch from next.
 
     Parameters
     ----------
-    revision : int
-        Revision to watch from next.
+    position : Position
+        Position to watch from next.
     entries : tuple of Entry
         The entries.
     age_s : float
         Seconds by which they may be older than the call; 0 if the store answered itself.
     """
 
-    revision: int
+    position: Position
     entries: tuple[Entry, ...]
     age_s: float = 0
 
@@ -109,8 +110,8 @@
     def list_all(self, topic: Topic) -> StoreUpdate:
         """Return every entry of `topic`."""
 
-    def watch(self, topic: Topic, revision: int, wait_s: float) -> StoreUpdate:
-        """Return the changes after `revision`; wait up to `wait_s` seconds for one."""
+    def watch(self, topic: Topic, position: Position, wait_s: float) -> StoreUpdate:
+        """Return the changes after `position`; wait up to `wait_s` seconds for one."""
 
 
 class Subscriber(Protocol):
@@ -148,10 +149,10 @@
         '_clock',
         '_health',
         '_last_error',
-        '_last_revision',
+        '_last_position',
         '_missing',
         '_on_read',
-        '_revision',
+        '_position',
         '_revisions',
         '_rng',
         '_source',
@@ -175,10 +176,10 @@
         self._clock = clock
         self._rng = Random()
         self._on_read = on_read
-        # Revision to watch from; None when the whole topic must be listed.
-        self._revision: int | None = None
-        # Newest revision that was read.
-        self._last_revision = 0
+        # Position to watch from; None when the whole topic must be listed.
+        self._position: Position | None = None
+        # Newest position that was read.
+        self._last_position = START
         # Revision of each known entry, by name.
         self._revisions: dict[str, int] = {}
         # Entries that are missing, but may only have expired in an outage.
@@ -191,7 +192,7 @@
 
     def __repr__(self) -> str:
         """Return a short description for debugging."""
-        return f'<Follower {self.topic.value} revision={self._revision}>'
+        return f'<Follower {self.topic.value} position={self._position}>'
 
     def run(self) -> None:
         """Follow the topic forever; run as a task."""
@@ -208,35 +209,37 @@
         try:
             update = self._read()
         except WatchExpired:
-            log_event('history_gone', topic=self.topic.value, revision=self._revision)
-            self._revision = None
+            log_event(
+                'history_gone', topic=self.topic.value, position=str(self._position)
+            )
+            self._position = None
             return 0
         except StoreError as error:
             return self._note_failure(error, sent_at)
-        self._note_success(update.revision)
-        is_full_list = self._revision is None
-        self._revision = update.revision
-        self._last_revision = max(self._last_revision, update.revision)
+        self._note_success(update.position)
+        is_full_list = self._position is None
+        self._position = update.position
+        self._last_position = max(self._last_position, update.position)
         self._apply(update, is_full_list)
         if self._on_read is not None:
             self._on_read(sent_at - update.age_s)
         return WATCH_TIMINGS[self.topic].batch_pause_s if update.entries else 0
 
     def _read(self) -> StoreUpdate:
-        if self._revision is None:
+        if self._position is None:
             return self._list_all()
         # After a failure the call returns at once, to detect the recovery early.
         wait_s = 0 if self._store_lost else self._choose_wait()
         if self._missing:
             left_s = self._health.get_return_deadline() - self._clock.now()
             wait_s = min(wait_s, MISSING_WAIT_S, max(0, left_s))
-        return self._source.watch(self.topic, self._revision, wait_s)
+        return self._source.watch(self.topic, self._position, wait_s)
 
     def _list_all(self) -> StoreUpdate:
         update = self._source.list_all(self.topic)
-        if update.revision < self._last_revision:
+        if update.position < self._last_position:
             # A relay may be behind. Its list would bring back what was removed since.
-            raise StoreUnavailable(f'list of revision {update.revision} is outdated')
+            raise StoreUnavailable(f'list of {update.position} is outdated')
         return update
 
     def _choose_wait(self) -> float:
@@ -310,7 +313,7 @@
                 level='WARNING',
                 topic=self.topic.value,
                 error=error,
-                revision=self._last_revision,
+                position=str(self._last_position),
             )
         self._store_lost = True
         self._last_error = str(error)
@@ -318,7 +321,7 @@
         self._backoff_s = min(MAX_BACKOFF_S, self._backoff_s * 2)
         return pause_s
 
-    def _note_success(self, revision: int) -> None:
+    def _note_success(self, position: Position) -> None:
         self._backoff_s = FIRST_BACKOFF_S
         self._health.note_success()
         if self._store_lost:
@@ -326,7 +329,7 @@
             log_event(
                 'store_regained',
                 topic=self.topic.value,
-                revision=revision,
+                position=str(position),
                 outage_s=outage.length_s if outage else None,
                 unnoticed_s=outage.unnoticed_s if outage else None,
             )
--- a/currantmast/direct/relaymessages.py
+++ b/currantmast/direct/relaymessages.py
@@ -7,11 +7,9 @@
 
 from currantmast.direct.following import Entry, InvalidEntry, StoreUpdate, Topic
 from currantmast.direct.model import Configuration, InstanceRecord, TargetRecord
+from currantmast.direct.positions import Position
 from currantmast.errors import StoreUnavailable
 
-# Stands for a list in place of the revision of a watch.
-LIST = -1
-
 VALUE_TYPES: Mapping[Topic, type] = MappingProxyType(
     {
         Topic.configuration: Configuration,
@@ -48,8 +46,8 @@
 
     Parameters
     ----------
-    revision : int
-        Revision to watch from next.
+    position : Position
+        Position to watch from next.
     entries : tuple of RelayedEntry
         The entries.
     age_s : float
@@ -57,7 +55,7 @@
         call; 0 if the read came later.
     """
 
-    revision: int
+    position: Position
     entries: tuple[RelayedEntry, ...]
     age_s: float
 
@@ -80,10 +78,10 @@
 
 
 def encode_update(
-    revision: int, entries: Iterable[RelayedEntry], age_s: float
+    position: Position, entries: Iterable[RelayedEntry], age_s: float
 ) -> bytes:
     """Return a list or the changes of a topic as MessagePack."""
-    return _encoder.encode(RelayedUpdate(revision, tuple(entries), age_s))
+    return _encoder.encode(RelayedUpdate(position, tuple(entries), age_s))
 
 
 def decode_update(topic: Topic, body: bytes) -> StoreUpdate:
@@ -99,7 +97,7 @@
         entries = tuple(_decode_entry(topic, entry) for entry in relayed.entries)
     except msgspec.MsgspecError as error:
         raise StoreUnavailable(f'unreadable answer of a relay: {error}') from error
-    return StoreUpdate(relayed.revision, entries, relayed.age_s)
+    return StoreUpdate(relayed.position, entries, relayed.age_s)
 
 
 def _decode_entry(topic: Topic, relayed: RelayedEntry) -> Entry:
--- a/currantmast/direct/relays.py
+++ b/currantmast/direct/relays.py
@@ -16,12 +16,8 @@
 from currantmast.clocks import Clock
 from currantmast.direct.following import Entry, Source, StoreUpdate, Topic
 from currantmast.direct.inbound import InboundRequest, OutboundAnswer
-from currantmast.direct.relaymessages import (
-    LIST,
-    RelayedEntry,
-    encode_entry,
-    encode_update,
-)
+from currantmast.direct.positions import Position
+from currantmast.direct.relaymessages import RelayedEntry, encode_entry, encode_update
 from currantmast.direct.updatelogs import UpdateLog
 from currantmast.errors import StoreError, WatchExpired
 
@@ -63,15 +59,15 @@
         self.logs[topic].put_list(update, sent_at)
         return update
 
-    def watch(self, topic: Topic, revision: int, wait_s: float) -> StoreUpdate:
-        """Return the changes after `revision`; wait up to `wait_s` seconds for one."""
+    def watch(self, topic: Topic, position: Position, wait_s: float) -> StoreUpdate:
+        """Return the changes after `position`; wait up to `wait_s` seconds for one."""
         log = self.logs[topic]
-        if not log.can_continue(revision):
+        if not log.can_continue(position):
             # The record lacks changes after a time as a reserve, so it needs a list.
-            raise WatchExpired(f'{topic.value}: {revision} was not read from the store')
+            raise WatchExpired(f'{topic.value}: {position} was not read from the store')
         sent_at = self._clock.now()
         try:
-            update = self.store.watch(topic, revision, wait_s)
+            update = self.store.watch(topic, position, wait_s)
         except WatchExpired:
             log.lose()
             raise
@@ -114,18 +110,18 @@
         """Return the answer to a list or watch; 410 if the history is gone."""
         arrived_at = self._clock.now()
         try:
-            topic, revision, wait_s = _decode_call(inbound.url)
-        except ValueError:
+            topic, position, wait_s = _decode_call(inbound.url)
+        except (KeyError, ValueError):
             return OutboundAnswer(HTTPStatus.BAD_REQUEST)
         log = self._recorded.logs[topic]
         try:
-            update = log.list_all() if revision == LIST else log.watch(revision, wait_s)
+            update = log.watch(position, wait_s) if position else log.list_all()
         except WatchExpired:
             return OutboundAnswer(HTTPStatus.GONE)
         except StoreError:
             return OutboundAnswer(HTTPStatus.SERVICE_UNAVAILABLE)
         body = encode_update(
-            update.revision,
+            update.position,
             (self._encode(topic, entry) for entry in update.entries),
             max(0, arrived_at - log.read_at),
         )
@@ -143,10 +139,14 @@
         return known[1]
 
 
-def _decode_call(url: str) -> tuple[Topic, int, float]:
-    """Return topic, revision and wait in seconds; the revision is `LIST` for a list."""
+def _decode_call(url: str) -> tuple[Topic, Position | None, float]:
+    """Return topic, position and wait in seconds; the position is None for a list."""
     parts = urlsplit(url)
     query = parse_qs(parts.query)
     wait_s = float(query.get('wait_s', ['0'])[0])
-    revision = int(query.get('revision', [LIST])[0])
-    return Topic(parts.path.strip('/')), revision, max(0, min(MAX_WAIT_S, wait_s))
+    position = _find_position(query) if query.get('revision') else None
+    return Topic(parts.path.strip('/')), position, max(0, min(MAX_WAIT_S, wait_s))
+
+
+def _find_position(query: dict[str, list[str]]) -> Position:
+    return Position(int(query['era'][0]), int(query['revision'][0]))
--- a/currantmast/direct/reserves.py
+++ b/currantmast/direct/reserves.py
@@ -9,7 +9,8 @@
 from currantmast.direct.following import StoreUpdate, Topic
 from currantmast.direct.members import Members
 from currantmast.direct.model import InstanceRecord
-from currantmast.direct.relaymessages import LIST, decode_update
+from currantmast.direct.positions import Position
+from currantmast.direct.relaymessages import decode_update
 from currantmast.direct.relays import MAX_WAIT_S, RecordingSource
 from currantmast.errors import StoreUnavailable, TransportError, WatchExpired
 from currantmast.runtime.logs import log_event
@@ -69,28 +70,30 @@
         """Return every entry of `topic`."""
         if self._is_entry():
             return self._recorded.list_all(topic)
-        relayed = self._read_relayed(topic, LIST, 0)
+        relayed = self._read_relayed(topic, None, 0)
         return relayed or self._recorded.store.list_all(topic)
 
-    def watch(self, topic: Topic, revision: int, wait_s: float) -> StoreUpdate:
-        """Return the changes after `revision`; wait up to `wait_s` seconds for one."""
+    def watch(self, topic: Topic, position: Position, wait_s: float) -> StoreUpdate:
+        """Return the changes after `position`; wait up to `wait_s` seconds for one."""
         if self._is_entry():
-            return self._recorded.watch(topic, revision, wait_s)
-        relayed = self._read_relayed(topic, revision, min(MAX_WAIT_S, wait_s))
-        return relayed or self._recorded.store.watch(topic, revision, wait_s)
+            return self._recorded.watch(topic, position, wait_s)
+        relayed = self._read_relayed(topic, position, min(MAX_WAIT_S, wait_s))
+        return relayed or self._recorded.store.watch(topic, position, wait_s)
 
     def _is_entry(self) -> bool:
         return self._members.own.id in self._members.entries
 
     def _read_relayed(
-        self, topic: Topic, revision: int, wait_s: float
+        self, topic: Topic, position: Position | None, wait_s: float
     ) -> StoreUpdate | None:
         """Return a relay's answer, or None if the store is to be read.
 
+        Without a position the whole topic is listed.
+
         Raises
         ------
         WatchExpired
-            If the relay doesn't know all changes after `revision`.
+            If the relay doesn't know all changes after `position`.
         StoreUnavailable
             If the store doesn't answer the relays, and was read a moment ago.
         """
@@ -105,7 +108,9 @@
         refusals = 0
         for relay in relays[:MAX_RELAYS]:
             try:
-                return self._call(relay, topic, revision, wait_s)
+                return self._call(
+                    relay, _make_path(topic, position, wait_s), topic, wait_s
+                )
             except TransportError as error:
                 log_event(
                     'relay_lost',
@@ -125,9 +130,8 @@
         return None
 
     def _call(
-        self, relay: InstanceRecord, topic: Topic, revision: int, wait_s: float
+        self, relay: InstanceRecord, path: str, topic: Topic, wait_s: float
     ) -> StoreUpdate:
-        path = f'/{topic.value}?revision={revision}&wait_s={wait_s:.3f}'
         request = TargetRequest('GET', path, (('Host', relay.id),))
         answer = self._connections.exchange(
             _name_channel(relay, topic),
@@ -137,7 +141,7 @@
             lambda _: True,
         )
         if answer.status == HTTPStatus.GONE:
-            raise WatchExpired(f'{topic.value}: {revision}')
+            raise WatchExpired(path)
         if answer.status != HTTPStatus.OK:
             raise StoreUnavailable(f'{relay.id}: status {answer.status}')
         return decode_update(topic, answer.body)
@@ -172,5 +176,12 @@
         clock.sleep(START_POLL_INTERVAL_S)
 
 
+def _make_path(topic: Topic, position: Position | None, wait_s: float) -> str:
+    if position is None:
+        return f'/{topic.value}'
+    history = f'era={position.era}&revision={position.revision}'
+    return f'/{topic.value}?{history}&wait_s={wait_s:.3f}'
+
+
 def _name_channel(relay: InstanceRecord, topic: Topic) -> str:
     return f'{relay.id}/{relay.incarnation}/{topic.value}'
--- a/currantmast/platform/store.py
+++ b/currantmast/platform/store.py
@@ -12,6 +12,7 @@
 from currantmast.direct.exchanges import TargetConnections, TargetRequest
 from currantmast.direct.following import Entry, StoreUpdate, Topic
 from currantmast.direct.model import InstanceRecord
+from currantmast.direct.positions import Position
 from currantmast.errors import (
     StoreConflict,
     StoreError,
@@ -79,35 +80,39 @@
             If a page can't be read; a partial list is never returned.
         """
         entries: list[Entry] = []
-        revision: int | None = None
+        first: Position | None = None
         query: dict[str, str] = {}
         while True:
-            page = self._read(topic, query, CALL_TIMEOUT_S)
+            page, position = self._read(topic, query, CALL_TIMEOUT_S)
             items = _get_field(page, 'items', list)
             entries.extend(_decode_object(topic, item) for item in items)
-            # A watch from the first page's revision repeats the changes between pages.
-            if revision is None:
-                revision = _get_field(page, 'current_rev', int)
+            # A watch from the first page's position repeats the changes between pages.
+            first = first or position
+            if position.era != first.era:
+                raise StoreUnavailable('the store was restored between two pages')
             if not page.get('has_more'):
-                return StoreUpdate(revision, tuple(entries))
+                return StoreUpdate(first, tuple(entries))
             query = {'after': _find_name(items[-1]) if items else ''}
 
-    def watch(self, topic: Topic, revision: int, wait_s: float) -> StoreUpdate:
-        """Return the changes after `revision`, waiting up to `wait_s` for the first.
+    def watch(self, topic: Topic, position: Position, wait_s: float) -> StoreUpdate:
+        """Return the changes after `position`, waiting up to `wait_s` for the first.
 
         Raises
         ------
         WatchExpired
-            If the store no longer keeps the history since `revision`.
+            If the store no longer keeps the history since `position`, or came back from
+            a copy since.
         StoreError
             If the call failed.
         """
-        query = {'watch': str(revision), 'wait_ms': str(round(wait_s * 1000))}
-        page = self._read(topic, query, wait_s + WATCH_MARGIN_S)
+        query = {'watch': str(position.revision), 'wait_ms': str(round(wait_s * 1000))}
+        page, newest = self._read(topic, query, wait_s + WATCH_MARGIN_S)
+        if newest.era != position.era:
+            # It may have given the revision out again, so changes may be missing.
+            raise WatchExpired(f'{topic.value}: {position} is of another era')
         events = _get_field(page, 'events', list)
         return StoreUpdate(
-            _get_field(page, 'current_rev', int),
-            tuple(_decode_event(topic, event) for event in events),
+            newest, tuple(_decode_event(topic, event) for event in events)
         )
 
     def put_instance(self, record: InstanceRecord) -> None:
@@ -147,7 +152,10 @@
             if deleted.status != HTTPStatus.NOT_FOUND:
                 _raise_for_status(deleted)
 
-    def _read(self, topic: Topic, query: dict[str, str], timeout_s: float) -> dict:
+    def _read(
+        self, topic: Topic, query: dict[str, str], timeout_s: float
+    ) -> tuple[dict, Position]:
+        """Return a page and the position of the store when it answered."""
         path = f'/objects/{OBJECT_KINDS[topic]}'
         if query:
             path = f'{path}?{urlencode(query)}'
@@ -155,7 +163,9 @@
         if answer.status == HTTPStatus.GONE:
             raise WatchExpired(f'{topic.value}: {query}')
         _raise_for_status(answer)
-        return _decode_page(answer)
+        page = _decode_page(answer)
+        revision = _get_field(page, 'current_rev', int)
+        return page, Position(_find_era(answer), revision)
 
     def _call(self, method: str, path: str, body: bytes = b'') -> Answer:
         try:
--- a/currantmast/standins/platformstore.py
+++ b/currantmast/standins/platformstore.py
@@ -2,7 +2,7 @@
 
 import copy
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from http import HTTPStatus
 from typing import Any
 from urllib.parse import parse_qs, unquote, urlsplit
@@ -177,7 +177,7 @@
         revision = query.get('watch')
         if revision is not None:
             return self._watch(kind, int(revision), int(query['wait_ms']))
-        names = self._list_names(kind)
+        names = sorted(name for known, name in self._stored if known == kind)
         after = query.get('after') or ''
         later = [name for name in names if name > after]
         page = {
@@ -187,27 +187,17 @@
         }
         return _reply(page)
 
-    def _list_names(self, kind: str) -> list[str]:
-        return sorted(name for known, name in self._stored if known == kind)
-
     def _watch(self, kind: str, revision: int, wait_ms: int) -> OutboundAnswer:
         until = BootClock().now() + min(MAX_WAIT_S, wait_ms / 1000)
         while True:
             if not self._forgotten <= revision <= self._revision:
                 return OutboundAnswer(HTTPStatus.GONE)
-            events = self._list_events(kind, revision)
+            events = _list_events(self._history, kind, revision)
             left_s = until - BootClock().now()
             if events or left_s <= 0:
                 return _reply({'events': events, 'current_rev': self._revision})
             self._changed.wait(left_s)
 
-    def _list_events(self, kind: str, revision: int) -> list[dict[str, Any]]:
-        return [
-            {'deleted': change.deleted, 'object': change.stored}
-            for change in self._history
-            if change.kind == kind and change.revision > revision
-        ]
-
     def _create(self, kind: str, document: dict[str, Any]) -> OutboundAnswer:
         name = document['meta']['name']
         known = self._stored.get((kind, name))
@@ -235,6 +225,16 @@
         return _reply(known)
 
 
+def _list_events(
+    history: Iterable[_Change], kind: str, revision: int
+) -> list[dict[str, Any]]:
+    return [
+        {'deleted': change.deleted, 'object': change.stored}
+        for change in history
+        if change.kind == kind and change.revision > revision
+    ]
+
+
 def _reply(content: Any, status: int = HTTPStatus.OK) -> OutboundAnswer:
     headers = (('Content-Type', 'application/json'),)
     return OutboundAnswer(status, headers, msgspec.json.encode(content))
--- a/tests/limitedfleet.py
+++ b/tests/limitedfleet.py
@@ -1,5 +1,7 @@
 """A fleet of instances with one target that names a limit, without processes or time."""
 
+import msgspec
+
 from currantmast.clocks import ManualClock
 from currantmast.direct.answers import Answer
 from currantmast.direct.heartbeats import HeartbeatSocket
@@ -48,8 +50,11 @@
         self.arrivals = []
 
     def answer(self, sender):
+        self.arrivals.append((self.clock.now(), sender))
+        return self.make_answer(sender)
+
+    def make_answer(self, sender):
         now = self.clock.now()
-        self.arrivals.append((now, sender))
         headers = [('X-Currantmast-Server-Stamp', 's')]
         if self.rate is not None:
             headers.append((self.header, str(self.rate)))
@@ -91,7 +96,7 @@
 
     def __init__(self, record, records, target, rng, incarnation='run'):
         self.clock = target.clock
-        own = InstanceRecord(record.id, incarnation, record.location, ADDRESS, ADDRESS)
+        own = msgspec.structs.replace(record, incarnation=incarnation)
         self.state = InstanceState(own, Bounds(), self.clock)
         self.state.target_limits = TargetLimits(self.clock, rng)
         self.state.configuration.adopt(
--- a/tests/test_direct_following.py
+++ b/tests/test_direct_following.py
@@ -10,6 +10,7 @@
     StoreUpdate,
     Topic,
 )
+from currantmast.direct.positions import Position
 from currantmast.direct.storehealth import StoreContact, StoreHealth
 from currantmast.errors import StoreUnavailable, WatchExpired
 from currantmast.platform.store import WATCH_MARGIN_S
@@ -18,6 +19,10 @@
 RECOVERY_S = 3.0
 
 
+def at(revision, era=1):
+    return Position(era, revision)
+
+
 class ScriptedSource:
     """Returns or raises the next of a list of results at each read."""
 
@@ -30,8 +35,8 @@
         self.reads.append('list')
         return self._next()
 
-    def watch(self, topic, revision, wait_s):
-        self.reads.append(('watch', revision))
+    def watch(self, topic, position, wait_s):
+        self.reads.append(('watch', position.revision))
         return self._next()
 
     def _next(self):
@@ -89,16 +94,16 @@
 
 # Calls that fail for 4 s, long enough for entries to expire.
 LONG_OUTAGE = [UNAVAILABLE] * 40
-NO_CHANGES = StoreUpdate(5, ())
+NO_CHANGES = StoreUpdate(at(5), ())
 
 
 def test_watch_resumes_after_an_outage():
     harness = FollowerHarness()
     harness.play(
-        StoreUpdate(5, (make_entry('a'),)),
+        StoreUpdate(at(5), (make_entry('a'),)),
         UNAVAILABLE,
         UNAVAILABLE,
-        StoreUpdate(7, (make_entry('b'),)),
+        StoreUpdate(at(7), (make_entry('b'),)),
     )
     assert harness.source.reads == ['list', ('watch', 5), ('watch', 5), ('watch', 5)]
     assert set(harness.subscriber.entries) == {'a', 'b'}
@@ -107,9 +112,9 @@
 def test_lost_history_is_replaced_by_a_full_list():
     harness = FollowerHarness()
     harness.play(
-        StoreUpdate(5, (make_entry('a'), make_entry('b'))),
+        StoreUpdate(at(5), (make_entry('a'), make_entry('b'))),
         WatchExpired(''),
-        StoreUpdate(9, (make_entry('b'),)),
+        StoreUpdate(at(9), (make_entry('b'),)),
     )
     assert set(harness.subscriber.entries) == {'b'}
 
@@ -117,7 +122,7 @@
 def test_target_removed_without_an_outage_is_dropped_at_once():
     harness = FollowerHarness()
     harness.play(
-        StoreUpdate(5, (make_entry('a'),)), StoreUpdate(6, (make_removed('a'),))
+        StoreUpdate(at(5), (make_entry('a'),)), StoreUpdate(at(6), (make_removed('a'),))
     )
     assert not harness.subscriber.entries
 
@@ -126,12 +131,12 @@
     """Guards against a store outage that empties the table of targets."""
     harness = FollowerHarness()
     harness.play(
-        StoreUpdate(5, (make_entry('a'), make_entry('b'))),
+        StoreUpdate(at(5), (make_entry('a'), make_entry('b'))),
         *LONG_OUTAGE,
-        StoreUpdate(8, (make_removed('a'), make_removed('b'))),
+        StoreUpdate(at(8), (make_removed('a'), make_removed('b'))),
     )
     assert set(harness.subscriber.entries) == {'a', 'b'}
-    harness.play(StoreUpdate(9, (make_entry('a', 9),)), pause_s=2.3)
+    harness.play(StoreUpdate(at(9), (make_entry('a', 9),)), pause_s=2.3)
     harness.play(NO_CHANGES)
     assert set(harness.subscriber.entries) == {'a'}
 
@@ -139,10 +144,10 @@
 def test_expired_target_stays_when_missing_from_a_full_list():
     harness = FollowerHarness()
     harness.play(
-        StoreUpdate(5, (make_entry('a'),)),
+        StoreUpdate(at(5), (make_entry('a'),)),
         *LONG_OUTAGE,
         WatchExpired(''),
-        StoreUpdate(8, ()),
+        StoreUpdate(at(8), ()),
     )
     assert set(harness.subscriber.entries) == {'a'}
     harness.play(NO_CHANGES, pause_s=2.3)
@@ -153,9 +158,9 @@
 def test_evacuation_withdrawn_in_an_outage_ends_at_once():
     harness = FollowerHarness(Topic.evacuations)
     harness.play(
-        StoreUpdate(5, (make_entry('a'),)),
+        StoreUpdate(at(5), (make_entry('a'),)),
         UNAVAILABLE,
-        StoreUpdate(8, (make_removed('a'),)),
+        StoreUpdate(at(8), (make_removed('a'),)),
     )
     assert not harness.subscriber.entries
 
@@ -164,7 +169,8 @@
     harness = FollowerHarness()
     invalid = Entry('a', 6, InvalidEntry('no slots'))
     harness.play(
-        StoreUpdate(5, (make_entry('a'), make_entry('b'))), StoreUpdate(6, (invalid,))
+        StoreUpdate(at(5), (make_entry('a'), make_entry('b'))),
+        StoreUpdate(at(6), (invalid,)),
     )
     assert set(harness.subscriber.entries) == {'b'}
 
@@ -172,7 +178,7 @@
 def test_read_confirms_the_time_at_which_it_was_sent():
     """Guards against a lease that starts when a delayed answer arrives."""
     harness = FollowerHarness(Topic.configuration)
-    slow = StoreUpdate(5, ())
+    slow = StoreUpdate(at(5), ())
     original = harness.source.list_all
 
     def answer_late(topic):
@@ -197,11 +203,11 @@
     (scale-2 of glenbrae-mast, seed 155566213091).
     """
     harness = FollowerHarness()
-    harness.play(StoreUpdate(5, (make_entry('a'),)), UNAVAILABLE)
+    harness.play(StoreUpdate(at(5), (make_entry('a'),)), UNAVAILABLE)
     harness.clock.advance(10)
     harness.health.note_success()
     harness.clock.advance(1.6)
-    harness.play(WatchExpired(''), StoreUpdate(8, ()), pause_s=0.7)
+    harness.play(WatchExpired(''), StoreUpdate(at(8), ()), pause_s=0.7)
     harness.play(NO_CHANGES)
     assert not harness.subscriber.entries
 
@@ -226,7 +232,7 @@
     time in which targets may return (scale-2 of glenbrae-mast, seed 484698024239).
     """
     harness = FollowerHarness()
-    harness.play(StoreUpdate(5, (make_entry('a'),)), UNAVAILABLE)
+    harness.play(StoreUpdate(at(5), (make_entry('a'),)), UNAVAILABLE)
     harness.clock.advance(10)
     other = Follower(
         Topic.instances,
@@ -236,7 +242,7 @@
         harness.health,
     )
     other.step()
-    harness.play(WatchExpired(''), StoreUpdate(8, ()), pause_s=0.5)
+    harness.play(WatchExpired(''), StoreUpdate(at(8), ()), pause_s=0.5)
     harness.play(NO_CHANGES)
     assert not harness.subscriber.entries
 
@@ -244,8 +250,8 @@
 def record_waits(harness):
     waits = []
     original = harness.source.watch
-    harness.source.watch = lambda topic, revision, wait_s: (
-        waits.append(wait_s) or original(topic, revision, wait_s)
+    harness.source.watch = lambda topic, position, wait_s: (
+        waits.append(wait_s) or original(topic, position, wait_s)
     )
     return waits
 
@@ -253,7 +259,7 @@
 def test_first_call_after_a_failure_does_not_wait_for_a_change():
     harness = FollowerHarness()
     waits = record_waits(harness)
-    harness.play(StoreUpdate(5, ()), UNAVAILABLE, NO_CHANGES, NO_CHANGES)
+    harness.play(StoreUpdate(at(5), ()), UNAVAILABLE, NO_CHANGES, NO_CHANGES)
     assert waits[1] == 0
     assert waits[2] > 0
 
@@ -266,18 +272,18 @@
     """
     harness = FollowerHarness(Topic.configuration)
     waits = record_waits(harness)
-    harness.play(StoreUpdate(5, ()), *[NO_CHANGES] * 40)
+    harness.play(StoreUpdate(at(5), ()), *[NO_CHANGES] * 40)
     assert min(waits) < 1 < 1.6 < max(waits)
 
 
 def test_removed_target_is_dropped_in_time_though_the_return_is_noticed_late():
     """Guards against requests to a target that left while this instance was cut off."""
     harness = FollowerHarness()
-    harness.play(StoreUpdate(5, (make_entry('a'),)), pause_s=10)
+    harness.play(StoreUpdate(at(5), (make_entry('a'),)), pause_s=10)
     # The cut heals just after this call was sent.
     healed_at = harness.clock.now()
     harness.play(UNAVAILABLE, pause_s=1.3)
-    harness.play(WatchExpired(''), StoreUpdate(8, ()))
+    harness.play(WatchExpired(''), StoreUpdate(at(8), ()))
     while harness.clock.now() < healed_at + RECOVERY_S - 0.2:
         harness.play(NO_CHANGES)
     assert not harness.subscriber.entries
@@ -287,9 +293,9 @@
     """Guards against a failure too short for any entry to expire in it."""
     harness = FollowerHarness()
     harness.play(
-        StoreUpdate(5, (make_entry('a'),)),
+        StoreUpdate(at(5), (make_entry('a'),)),
         UNAVAILABLE,
-        StoreUpdate(8, (make_removed('a'),)),
+        StoreUpdate(at(8), (make_removed('a'),)),
     )
     assert not harness.subscriber.entries
 
@@ -298,25 +304,25 @@
     """Guards against requests to targets that left while a connection was silent."""
     harness = FollowerHarness()
     waits = record_waits(harness)
-    harness.play(StoreUpdate(5, ()), *[NO_CHANGES] * 5)
+    harness.play(StoreUpdate(at(5), ()), *[NO_CHANGES] * 5)
     assert max(waits) + WATCH_MARGIN_S + 0.3 <= RECOVERY_S
 
 
 def play_cut(harness):
     """Play a long outage in which a target goes missing."""
     harness.play(
-        StoreUpdate(5, (make_entry('a'),)),
+        StoreUpdate(at(5), (make_entry('a'),)),
         *LONG_OUTAGE,
-        StoreUpdate(8, (make_removed('a'),)),
+        StoreUpdate(at(8), (make_removed('a'),)),
     )
 
 
 def test_target_removed_while_only_this_instance_was_cut_off_is_dropped_at_once():
     harness = FollowerHarness()
     harness.health.note_peer('peer', StoreContact(since_s=60, answered_s=0))
-    harness.play(StoreUpdate(5, (make_entry('a'),)), *LONG_OUTAGE)
+    harness.play(StoreUpdate(at(5), (make_entry('a'),)), *LONG_OUTAGE)
     harness.health.note_peer('peer', StoreContact(since_s=60, answered_s=1.5))
-    harness.play(StoreUpdate(8, (make_removed('a'),)))
+    harness.play(StoreUpdate(at(8), (make_removed('a'),)))
     assert not harness.subscriber.entries
 
 
@@ -350,7 +356,7 @@
 def test_failure_after_an_outage_leaves_targets_their_time_to_return():
     harness = FollowerHarness()
     play_cut(harness)
-    harness.play(UNAVAILABLE, NO_CHANGES, StoreUpdate(9, (make_removed('b'),)))
+    harness.play(UNAVAILABLE, NO_CHANGES, StoreUpdate(at(9), (make_removed('b'),)))
     assert set(harness.subscriber.entries) == {'a'}
     harness.play(NO_CHANGES, pause_s=2.2)
     harness.play(NO_CHANGES)
@@ -362,5 +368,5 @@
     harness = FollowerHarness()
     play_cut(harness)
     for _ in range(6):
-        harness.play(UNAVAILABLE, WatchExpired(''), StoreUpdate(9, ()), pause_s=0.2)
+        harness.play(UNAVAILABLE, WatchExpired(''), StoreUpdate(at(9), ()), pause_s=0.2)
     assert not harness.subscriber.entries
--- a/tests/test_direct_logs.py
+++ b/tests/test_direct_logs.py
@@ -31,6 +31,7 @@
     TargetSubscriber,
 )
 from currantmast.direct.model import Bounds, InstanceRecord, Location, Team
+from currantmast.direct.positions import Position
 from currantmast.direct.reports import Heartbeat
 from currantmast.direct.storehealth import StoreHealth
 from currantmast.errors import StoreUnavailable, WatchExpired
@@ -122,7 +123,7 @@
     def list_all(self, topic):
         return self.watch(topic, 0, 0)
 
-    def watch(self, topic, revision, wait_s):
+    def watch(self, topic, position, wait_s):
         result = self.script.pop(0)
         if isinstance(result, Exception):
             raise result
@@ -160,13 +161,13 @@
     subscriber = make_subscribers(state)[topic]
     follower = Follower(topic, source, subscriber, clock, StoreHealth(clock))
     changes = (
-        (StoreUpdate(1, (Entry('n', 1, VALUES[topic]),)), 1),
-        (StoreUpdate(2, (Entry('n', 2, InvalidEntry('odd')),)), 1),
+        (StoreUpdate(Position(1, 1), (Entry('n', 1, VALUES[topic]),)), 1),
+        (StoreUpdate(Position(1, 2), (Entry('n', 2, InvalidEntry('odd')),)), 1),
         (StoreUnavailable('down'), 1),
-        (StoreUpdate(2, ()), 1),
+        (StoreUpdate(Position(1, 2), ()), 1),
         (WatchExpired('gone'), 1),
-        (StoreUpdate(3, (Entry('n', 3, VALUES[topic]),)), 0),
-        (StoreUpdate(4, (Entry('n', 4, None),)), 0),
+        (StoreUpdate(Position(1, 3), (Entry('n', 3, VALUES[topic]),)), 0),
+        (StoreUpdate(Position(1, 4), (Entry('n', 4, None),)), 0),
     )
     for change, least in changes:
         source.script.append(change)
--- a/tests/test_direct_relays.py
+++ b/tests/test_direct_relays.py
@@ -5,7 +5,7 @@
 import gevent
 import msgspec
 import pytest
-from test_direct_following import FollowerHarness
+from test_direct_following import FollowerHarness, at
 
 from currantmast.clocks import BootClock, ManualClock
 from currantmast.direct.following import Entry, InvalidEntry, StoreUpdate, Topic
@@ -22,7 +22,6 @@
     WeightedService,
     WorkKind,
 )
-from currantmast.direct.relaymessages import LIST
 from currantmast.direct.relays import RecordingSource, RelayServer
 from currantmast.direct.reports import Heartbeat
 from currantmast.direct.reserves import RelayedSource, list_relays
@@ -132,63 +131,63 @@
         Topic.instances: make_entries(relay.members.own),
     }
     for topic, expected in entries.items():
-        relay.read(topic, StoreUpdate(9, expected))
+        relay.read(topic, StoreUpdate(at(9), expected))
         update = relay.source.list_all(topic)
         assert update.entries == expected
-        assert update.revision == 9
+        assert update.position == at(9)
         assert update.age_s < 1
     assert not relay.direct.calls
 
 
 def test_watch_returns_as_soon_as_the_relay_has_read_a_change(relay):
-    relay.read(Topic.targets, StoreUpdate(9, make_entries(make_target(1))))
-    relay.store.answers[Topic.targets] = StoreUpdate(10, (Entry('t1', 10, None),))
-    gevent.spawn_later(0.1, relay.recorded.watch, Topic.targets, 9, 0)
+    relay.read(Topic.targets, StoreUpdate(at(9), make_entries(make_target(1))))
+    relay.store.answers[Topic.targets] = StoreUpdate(at(10), (Entry('t1', 10, None),))
+    gevent.spawn_later(0.1, relay.recorded.watch, Topic.targets, at(9), 0)
     with gevent.Timeout(1):
-        update = relay.source.watch(Topic.targets, 9, 3)
+        update = relay.source.watch(Topic.targets, at(9), 3)
     assert update.entries == (Entry('t1', 10, None),)
-    assert update.revision == 10
+    assert update.position == at(10)
 
 
 def test_reserve_reads_the_store_when_its_relays_are_gone(relay):
-    relay.direct.answers[Topic.targets] = StoreUpdate(12, ())
+    relay.direct.answers[Topic.targets] = StoreUpdate(at(12), ())
     relay.server.__exit__()
     with gevent.Timeout(3):
-        assert relay.source.list_all(Topic.targets).revision == 12
+        assert relay.source.list_all(Topic.targets).position == at(12)
 
 
 def test_relay_that_lost_the_store_says_so(relay):
     """Guards against a reserve that takes silence of a cut-off relay for no news."""
-    relay.read(Topic.targets, StoreUpdate(9, ()))
+    relay.read(Topic.targets, StoreUpdate(at(9), ()))
     relay.direct.lost = relay.store.lost = True
     with pytest.raises(StoreUnavailable):
-        relay.recorded.watch(Topic.targets, 9, 0)
+        relay.recorded.watch(Topic.targets, at(9), 0)
     with pytest.raises(StoreUnavailable):
-        relay.source.watch(Topic.targets, 9, 1)
+        relay.source.watch(Topic.targets, at(9), 1)
     assert relay.direct.calls == [('watch', Topic.targets)]
     for _ in range(5):
         with pytest.raises(StoreUnavailable):
-            relay.source.watch(Topic.targets, 9, 1)
+            relay.source.watch(Topic.targets, at(9), 1)
     assert len(relay.direct.calls) == 1
 
 
 def test_entry_instance_reads_the_store_itself(relay):
-    relay.direct.answers[Topic.targets] = StoreUpdate(12, ())
+    relay.direct.answers[Topic.targets] = StoreUpdate(at(12), ())
     for number in range(3):
         relay.members.remove(f'entry-{number}')
     relay.members.update_entries()
-    assert relay.source.list_all(Topic.targets).revision == 12
+    assert relay.source.list_all(Topic.targets).position == at(12)
 
 
 def test_list_of_a_relay_that_is_behind_brings_nothing_back():
     """Guards against a target or key in use again through a relay with an old copy."""
     harness = FollowerHarness()
     harness.play(
-        StoreUpdate(20, make_entries(make_target(1))),
-        StoreUpdate(30, (Entry('t1', 30, None),)),
+        StoreUpdate(at(20), make_entries(make_target(1))),
+        StoreUpdate(at(30), (Entry('t1', 30, None),)),
     )
-    harness.follower._revision = None
-    harness.play(StoreUpdate(25, make_entries(make_target(1))))
+    harness.follower._position = None
+    harness.play(StoreUpdate(at(25), make_entries(make_target(1))))
     assert not harness.subscriber.entries
 
 
@@ -196,34 +195,34 @@
     """Guards against a lease that outlives the last read of the store."""
     harness = FollowerHarness(Topic.configuration)
     read_at = harness.clock.now()
-    harness.play(StoreUpdate(20, (), 1.5))
+    harness.play(StoreUpdate(at(20), (), 1.5))
     assert harness.confirmed == [read_at - 1.5]
 
 
 def test_log_returns_the_present_state_of_what_changed():
     log = UpdateLog()
-    log.put_list(StoreUpdate(5, make_entries(make_target(1), make_target(2))), 0)
-    log.put_changes(StoreUpdate(7, (Entry('t1', 7, None),)), 0)
-    log.put_changes(StoreUpdate(9, make_entries(make_target(1))), 0)
-    assert log.watch(5, 0).entries == make_entries(make_target(1))
-    assert log.watch(7, 0).revision == 9
-    assert not log.watch(9, 0).entries
+    log.put_list(StoreUpdate(at(5), make_entries(make_target(1), make_target(2))), 0)
+    log.put_changes(StoreUpdate(at(7), (Entry('t1', 7, None),)), 0)
+    log.put_changes(StoreUpdate(at(9), make_entries(make_target(1))), 0)
+    assert log.watch(at(5), 0).entries == make_entries(make_target(1))
+    assert log.watch(at(7), 0).position == at(9)
+    assert not log.watch(at(9), 0).entries
     assert len(log.list_all().entries) == 2
     with pytest.raises(WatchExpired):
-        log.watch(4, 0)
+        log.watch(at(4), 0)
 
 
 def test_watch_from_a_newer_revision_waits_and_keeps_it():
     log = UpdateLog()
-    log.put_list(StoreUpdate(5, ()), 0)
-    assert log.watch(8, 0).revision == 8
+    log.put_list(StoreUpdate(at(5), ()), 0)
+    assert log.watch(at(8), 0).position == at(8)
 
 
 def test_reserve_relays_nothing(relay):
     """Guards against a record that is no longer kept up to date."""
     own = RecordingSource(relay.store, relay.clock)
-    relay.read(Topic.targets, StoreUpdate(9, ()))
-    relay.store.answers[Topic.targets] = StoreUpdate(3, ())
+    relay.read(Topic.targets, StoreUpdate(at(9), ()))
+    relay.store.answers[Topic.targets] = StoreUpdate(at(3), ())
     own.list_all(Topic.targets)
     RelayedSource(own, relay.members, relay.clock).list_all(Topic.targets)
     with pytest.raises(StoreUnavailable):
@@ -235,31 +234,31 @@
     store = Store()
     recorded = RecordingSource(store, ManualClock(0))
     with pytest.raises(WatchExpired):
-        recorded.watch(Topic.targets, 5, 0)
+        recorded.watch(Topic.targets, at(5), 0)
     assert not store.calls
 
 
 def test_relay_that_lost_the_store_passes_on_no_topic(relay):
     """Guards against a list of targets that a cut-off relay hands on for seconds."""
-    relay.read(Topic.targets, StoreUpdate(9, make_entries(make_target(1))))
+    relay.read(Topic.targets, StoreUpdate(at(9), make_entries(make_target(1))))
     relay.store.lost = True
     with pytest.raises(StoreUnavailable):
         relay.recorded.list_all(Topic.configuration)
-    relay.direct.answers[Topic.targets] = StoreUpdate(12, ())
-    assert relay.source.list_all(Topic.targets).revision == 12
+    relay.direct.answers[Topic.targets] = StoreUpdate(at(12), ())
+    assert relay.source.list_all(Topic.targets).position == at(12)
 
 
 def test_connections_to_relays_that_fell_silent_are_waited_for_once(relay):
     """Guards against a reserve that waits for the silent connection of each relay."""
-    relay.read(Topic.targets, StoreUpdate(9, make_entries(make_target(1))))
+    relay.read(Topic.targets, StoreUpdate(at(9), make_entries(make_target(1))))
     settings = LinkSettings('relays', upstream=relay.server.address)
     channels = (Channel(relay.clock), Channel(relay.clock))
     link = Link(settings, channels, relay.clock, Random(1))
     for record in list_relays(relay.members):
         relay.members.put(msgspec.structs.replace(record, peer=link.address))
     for record in list_relays(relay.members):
-        relay.source._call(record, Topic.targets, LIST, 0)
+        relay.source._call(record, '/targets', Topic.targets, 0)
     link.silence()
-    assert relay.source.list_all(Topic.targets).revision == 9
+    assert relay.source.list_all(Topic.targets).position == at(9)
     link.close()
     assert not relay.direct.calls
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -57,38 +57,38 @@
 
 def test_change_after_a_list_is_returned_by_the_watch(standin, client):
     standin.put('servers', 'i-1', make_server(1))
-    revision = client.list_all(Topic.targets).revision
+    position = client.list_all(Topic.targets).position
     standin.put('servers', 'i-2', make_server(2))
     standin.remove('servers', 'i-1')
     standin.put('config', 'main', {})
-    news = client.watch(Topic.targets, revision, 0)
+    news = client.watch(Topic.targets, position, 0)
     found = [(entry.name, entry.value is None) for entry in news.entries]
     assert found == [('i-2', False), ('i-1', True)]
 
 
 def test_watch_waits_for_the_first_change(standin, client):
-    revision = client.list_all(Topic.targets).revision
+    position = client.list_all(Topic.targets).position
     gevent.spawn_later(0.1, standin.put, 'servers', 'i-1', make_server(1))
     with gevent.Timeout(1):
-        news = client.watch(Topic.targets, revision, 5)
+        news = client.watch(Topic.targets, position, 5)
     assert [entry.name for entry in news.entries] == ['i-1']
 
 
 def test_watch_without_a_change_ends_after_its_wait(standin, client):
-    revision = client.list_all(Topic.targets).revision
+    position = client.list_all(Topic.targets).position
     with gevent.Timeout(1):
-        assert not client.watch(Topic.targets, revision, 0.1).entries
+        assert not client.watch(Topic.targets, position, 0.1).entries
 
 
 def test_expired_watch_is_distinguished_from_an_outage(standin, client):
-    revision = client.list_all(Topic.targets).revision
+    position = client.list_all(Topic.targets).position
     standin.put('servers', 'i-1', make_server(1))
     standin.forget_history()
     with pytest.raises(WatchExpired):
-        client.watch(Topic.targets, revision, 0)
+        client.watch(Topic.targets, position, 0)
     standin.faults.outage = True
     with pytest.raises(StoreUnavailable):
-        client.watch(Topic.targets, revision, 0)
+        client.watch(Topic.targets, position, 0)
 
 
 def test_invalid_entry_does_not_affect_the_others(standin, client):
