Keep the limit of a target whose entry is missing for a moment

Each instance forgot the limit when the target's entry was removed, and all do so together, for example when the store comes back without it; until the first answers named it again, each sent without a limit.

Evidence: tests/limitreplay.py simulates regions, processing times, objects and the real schedule of heartbeats.

--- a/currantmast/direct/heartbeats.py
+++ b/currantmast/direct/heartbeats.py
@@ -210,12 +210,13 @@
             state.freshness.confirm_by_peer(confirmation, version)
 
     def _note_limits(self, heartbeat: Heartbeat) -> None:
-        listed = {
+        limits = self._state.target_limits
+        known = {
             target_id: named
             for target_id, named in heartbeat.limited.named.items()
-            if self._state.targets.get(target_id) is not None
+            if target_id in limits.runs
         }
-        self._state.target_limits.note_peer(listed)
+        limits.note_peer(known)
 
     def _update_from_members(self) -> None:
         state = self._state
--- a/currantmast/direct/instance_state.py
+++ b/currantmast/direct/instance_state.py
@@ -147,7 +147,7 @@
         self._state.targets.put(value)
         if known is None or known.record.started_at_ms != value.started_at_ms:
             self._connections.close_idle(name)
-            self._state.target_limits.forget(name)
+        self._state.target_limits.note_listed(name, value.started_at_ms)
         log_event(
             'target_listed',
             target=name,
@@ -160,7 +160,7 @@
     def remove(self, name: str) -> None:
         """Remove a target and close the idle connections to it."""
         self._state.targets.remove(name)
-        self._state.target_limits.forget(name)
+        self._state.target_limits.note_unlisted(name)
         self._connections.close_idle(name)
 
 
--- a/tests/limitedfleet.py
+++ b/tests/limitedfleet.py
@@ -107,7 +107,7 @@
         self.state.update_entries()
         self.state.members_listed_at = self.clock.now()
         self.state.targets_listed = True
-        self.state.targets.put(
+        self.list_target(
             TargetRecord('t1', 'desk', ADDRESS, Location('fife', 'fife-a'), 50)
         )
         self.heartbeats = HeartbeatSocket(ADDRESS, self.state, self.clock)
@@ -115,6 +115,10 @@
             self.state, wire, Connections(record.id, target), self.clock, Meter()
         )
 
+    def list_target(self, record):
+        self.state.targets.put(record)
+        self.state.target_limits.note_listed(record.id, record.started_at_ms)
+
     def beat(self):
         self.heartbeats._update_from_members()
         demands = self.state.rate_limiter.announce()
--- a/tests/limitreplay.py
+++ b/tests/limitreplay.py
@@ -173,7 +173,7 @@
         instance.record = record
         state = instance.state
         for found in self.targets.values():
-            state.targets.put(found.record)
+            instance.list_target(found.record)
         state.targets.remove('t1')
         instance.steering._connections = ReplayedConnections(record, self.targets)
         state.configuration.adopt(make_configuration())
--- a/tests/test_direct_targetlimits.py
+++ b/tests/test_direct_targetlimits.py
@@ -135,3 +135,15 @@
 def test_limit_is_read_from_its_header(name, text, rate):
     answer = Answer(200, 'OK', ((name, text),), b'')
     assert wire.decode_answer(answer).rate_limit == rate
+
+
+def test_limit_outlives_a_missing_entry_of_its_target(fleet):
+    """Guards against a limit that is forgotten while the entry is only gone for a moment."""
+    fleet.target.rate = 1.1
+    fleet.run(LOAD, 1)
+    state = next(iter(fleet.instances.values())).state
+    record = state.targets.get('t1').record
+    subscriber = TargetSubscriber(state, NoConnections())
+    subscriber.remove('t1')
+    subscriber.put('t1', record)
+    assert len(state.target_limits) == 1
