Split the applying of updates from the reading of the store

following.py read the store, kept the table of entries and held the types of updates. The types are in updates.py now, and EntryTable applies updates and defers removals.

--- a/currantmast/direct/following.py
+++ b/currantmast/direct/following.py
@@ -1,16 +1,16 @@
 """Followers: lists and watches of the store that keep an instance's state up to date."""
 
 from collections.abc import Callable
-from enum import Enum
 from random import Random
 from types import MappingProxyType
-from typing import Any, Protocol
 
 import msgspec
 
 from currantmast.clocks import Clock
+from currantmast.direct.entrytables import EntryTable, Subscriber
 from currantmast.direct.positions import START, Position
 from currantmast.direct.storehealth import StoreHealth
+from currantmast.direct.updates import Source, StoreUpdate, Topic
 from currantmast.errors import StoreError, StoreUnavailable, WatchExpired
 from currantmast.runtime.logs import log_event
 
@@ -33,15 +33,6 @@
 MIN_TARGETS_WAIT_S = 0.5
 
 
-class Topic(Enum):
-    """Group of store entries that one follower reads."""
-
-    configuration = 'configuration'
-    targets = 'targets'
-    evacuations = 'evacuations'
-    instances = 'instances'
-
-
 class WatchTiming(msgspec.Struct, frozen=True):
     """Timing of the watches of a topic.
 
@@ -72,58 +63,6 @@
 )
 
 
-class InvalidEntry(msgspec.Struct, frozen=True):
-    """Value of an entry that can't be decoded; the entry is treated as removed."""
-
-    reason: str
-
-
-class Entry(msgspec.Struct, frozen=True):
-    """Entry of a topic: its decoded value, `InvalidEntry`, or None when it was removed."""
-
-    name: str
-    revision: int
-    value: Any
-
-
-class StoreUpdate(msgspec.Struct, frozen=True):
-    """Entries that a list or a watch returned, and the position to watch from next.
-
-    Parameters
-    ----------
-    position : Position
-        Position to watch from next.
-    entries : tuple of Entry
-        The entries.
-    age_s : float
-        Seconds by which they may be older than the call; 0 if the store answered itself.
-    """
-
-    position: Position
-    entries: tuple[Entry, ...]
-    age_s: float = 0
-
-
-class Source(Protocol):
-    """Read access to the platform's store; each adapter implements it."""
-
-    def list_all(self, topic: Topic) -> StoreUpdate:
-        """Return every entry of `topic`."""
-
-    def watch(self, topic: Topic, position: Position, wait_s: float) -> StoreUpdate:
-        """Return the changes after `position`; wait up to `wait_s` seconds for one."""
-
-
-class Subscriber(Protocol):
-    """Receiver of the changes of one topic."""
-
-    def put(self, name: str, value: Any) -> None:
-        """Handle a new or changed entry."""
-
-    def remove(self, name: str) -> None:
-        """Handle the removal of an entry."""
-
-
 class Follower:
     """Reads one topic of the store and passes its changes to a subscriber.
 
@@ -150,14 +89,12 @@
         '_health',
         '_last_error',
         '_last_position',
-        '_missing',
         '_on_read',
         '_position',
-        '_revisions',
         '_rng',
         '_source',
         '_store_lost',
-        '_subscriber',
+        '_table',
         'topic',
     )
 
@@ -172,7 +109,6 @@
     ) -> None:
         self.topic = topic
         self._source = source
-        self._subscriber = subscriber
         self._clock = clock
         self._rng = Random()
         self._on_read = on_read
@@ -180,10 +116,7 @@
         self._position: Position | None = None
         # Newest position that was read.
         self._last_position = START
-        # Revision of each known entry, by name.
-        self._revisions: dict[str, int] = {}
-        # Entries that are missing, but may only have expired in an outage.
-        self._missing: set[str] = set()
+        self._table = EntryTable(topic, subscriber, clock, health)
         self._health = health
         self._store_lost = False
         # Error of the last call; empty after a successful one.
@@ -220,7 +153,7 @@
         is_full_list = self._position is None
         self._position = update.position
         self._last_position = max(self._last_position, update.position)
-        self._apply(update, is_full_list)
+        self._table.apply(update, is_full_list=is_full_list)
         if self._on_read is not None:
             self._on_read(sent_at - update.age_s)
         return WATCH_TIMINGS[self.topic].batch_pause_s if update.entries else 0
@@ -230,8 +163,8 @@
             return self._list_all()
         # After a failure the call returns at once, to detect the recovery early.
         wait_s = 0 if self._store_lost else self._choose_wait()
-        if self._missing:
-            left_s = self._health.get_return_deadline() - self._clock.now()
+        if self._table.has_missing:
+            left_s = self._table.get_return_deadline() - self._clock.now()
             wait_s = min(wait_s, MISSING_WAIT_S, max(0, left_s))
         return self._source.watch(self.topic, self._position, wait_s)
 
@@ -251,59 +184,6 @@
             return timing.wait_s
         return self._rng.uniform(timing.min_wait_s, timing.wait_s)
 
-    def _apply(self, update: StoreUpdate, is_full_list: bool) -> None:
-        if is_full_list:
-            listed = {entry.name for entry in update.entries}
-            for missing in set(self._revisions) - listed:
-                self._handle_missing(missing)
-        for entry in update.entries:
-            self._apply_entry(entry)
-        if not self._may_return():
-            for name in tuple(self._missing):
-                self._drop(name, 'expired')
-
-    def _apply_entry(self, entry: Entry) -> None:
-        match entry.value:
-            case None:
-                self._handle_missing(entry.name)
-            case InvalidEntry(reason):
-                if self._revisions.get(entry.name) != entry.revision:
-                    log_event(
-                        'entry_unusable',
-                        level='WARNING',
-                        topic=self.topic.value,
-                        name=entry.name,
-                        reason=reason,
-                    )
-                self._drop(entry.name, 'unusable')
-            case value:
-                self._missing.discard(entry.name)
-                self._revisions[entry.name] = entry.revision
-                self._subscriber.put(entry.name, value)
-
-    def _handle_missing(self, name: str) -> None:
-        """Drop an entry at once, or later if it may only have expired in an outage."""
-        if name not in self._revisions:
-            return
-        if self.topic is not Topic.targets or not self._may_return():
-            self._drop(name, 'removed')
-        elif name not in self._missing:
-            self._missing.add(name)
-            for_s = self._health.get_return_deadline() - self._clock.now()
-            log_event(
-                'removal_deferred', topic=self.topic.value, name=name, for_s=for_s
-            )
-
-    def _may_return(self) -> bool:
-        """Return whether a missing entry may be back soon."""
-        return self._clock.now() < self._health.get_return_deadline()
-
-    def _drop(self, name: str, cause: str) -> None:
-        self._missing.discard(name)
-        if self._revisions.pop(name, None) is not None:
-            log_event('entry_gone', topic=self.topic.value, name=name, cause=cause)
-        self._subscriber.remove(name)
-
     def _note_failure(self, error: StoreError, sent_at: float) -> float:
         self._health.note_failure(sent_at)
         if str(error) != self._last_error:
--- a/currantmast/direct/process.py
+++ b/currantmast/direct/process.py
@@ -12,7 +12,7 @@
 
 from currantmast.clocks import BootClock, Clock
 from currantmast.direct.exchanges import TargetConnections
-from currantmast.direct.following import Follower, Source, Topic
+from currantmast.direct.following import Follower
 from currantmast.direct.front import FrontServer
 from currantmast.direct.heartbeats import HeartbeatSocket
 from currantmast.direct.inbound import InboundRequest, OutboundAnswer
@@ -32,6 +32,7 @@
 from currantmast.direct.requests import Registry, WireFormat
 from currantmast.direct.reserves import RelayedSource, wait_for_relay
 from currantmast.direct.steering import Steering
+from currantmast.direct.updates import Source, Topic
 from currantmast.errors import SettingsError, StoreError, TaskFailed
 from currantmast.runtime.logs import log_event
 from currantmast.runtime.supervisor import Supervisor, check_backend
--- a/currantmast/direct/relaymessages.py
+++ b/currantmast/direct/relaymessages.py
@@ -5,9 +5,9 @@
 
 import msgspec
 
-from currantmast.direct.following import Entry, InvalidEntry, StoreUpdate, Topic
 from currantmast.direct.model import Configuration, InstanceRecord, TargetRecord
 from currantmast.direct.positions import Position
+from currantmast.direct.updates import Entry, InvalidEntry, StoreUpdate, Topic
 from currantmast.errors import StoreUnavailable
 
 VALUE_TYPES: Mapping[Topic, type] = MappingProxyType(
--- a/currantmast/direct/relays.py
+++ b/currantmast/direct/relays.py
@@ -14,11 +14,11 @@
 from urllib.parse import parse_qs, urlsplit
 
 from currantmast.clocks import Clock
-from currantmast.direct.following import Entry, Source, StoreUpdate, Topic
 from currantmast.direct.inbound import InboundRequest, OutboundAnswer
 from currantmast.direct.positions import Position
 from currantmast.direct.relaymessages import RelayedEntry, encode_entry, encode_update
 from currantmast.direct.updatelogs import UpdateLog
+from currantmast.direct.updates import Entry, Source, StoreUpdate, Topic
 from currantmast.errors import StoreError, WatchExpired
 
 # Longest time in seconds that a watch waits at a relay. Short, so that the loss of a relay
--- a/currantmast/direct/reserves.py
+++ b/currantmast/direct/reserves.py
@@ -6,12 +6,12 @@
 
 from currantmast.clocks import Clock
 from currantmast.direct.exchanges import TargetConnections, TargetRequest
-from currantmast.direct.following import StoreUpdate, Topic
 from currantmast.direct.members import Members
 from currantmast.direct.model import InstanceRecord
 from currantmast.direct.positions import Position
 from currantmast.direct.relaymessages import decode_update
 from currantmast.direct.relays import MAX_WAIT_S, RecordingSource
+from currantmast.direct.updates import StoreUpdate, Topic
 from currantmast.errors import StoreUnavailable, TransportError, WatchExpired
 from currantmast.runtime.logs import log_event
 
--- a/currantmast/direct/updatelogs.py
+++ b/currantmast/direct/updatelogs.py
@@ -5,8 +5,8 @@
 import msgspec
 from gevent.event import Event
 
-from currantmast.direct.following import Entry, StoreUpdate
 from currantmast.direct.positions import START, Position
+from currantmast.direct.updates import Entry, StoreUpdate
 from currantmast.errors import StoreUnavailable, WatchExpired
 
 # Changes that are kept for watches.
--- a/currantmast/platform/documents.py
+++ b/currantmast/platform/documents.py
@@ -10,7 +10,6 @@
 
 import msgspec
 
-from currantmast.direct.following import InvalidEntry, Topic
 from currantmast.direct.model import (
     CallerLimits,
     Configuration,
@@ -24,6 +23,7 @@
     WeightedService,
     WorkKind,
 )
+from currantmast.direct.updates import InvalidEntry, Topic
 from currantmast.fields import parse_address
 
 CONFIGURATION_NAME = 'main'
--- a/currantmast/platform/store.py
+++ b/currantmast/platform/store.py
@@ -10,9 +10,9 @@
 from currantmast.clocks import Clock
 from currantmast.direct.answers import Answer
 from currantmast.direct.exchanges import TargetConnections, TargetRequest
-from currantmast.direct.following import Entry, StoreUpdate, Topic
 from currantmast.direct.model import InstanceRecord
 from currantmast.direct.positions import Position
+from currantmast.direct.updates import Entry, StoreUpdate, Topic
 from currantmast.errors import (
     StoreConflict,
     StoreError,
--- a/tests/followingfleet.py
+++ b/tests/followingfleet.py
@@ -11,7 +11,7 @@
 from currantmast.clocks import ManualClock
 from currantmast.direct.answers import Answer
 from currantmast.direct.exchanges import TargetConnections
-from currantmast.direct.following import Follower, Topic
+from currantmast.direct.following import Follower
 from currantmast.direct.heartbeats import HeartbeatSocket
 from currantmast.direct.inbound import InboundRequest
 from currantmast.direct.instance_state import (
@@ -25,6 +25,7 @@
 from currantmast.direct.relays import RecordingSource, RelayServer
 from currantmast.direct.reports import decode_heartbeat, encode_heartbeat
 from currantmast.direct.reserves import RelayedSource
+from currantmast.direct.updates import Topic
 from currantmast.errors import NothingSent
 from currantmast.messages import Address
 from currantmast.platform.documents import configure_regions, encode_instance
--- a/tests/test_direct_following.py
+++ b/tests/test_direct_following.py
@@ -3,15 +3,10 @@
 import pytest
 
 from currantmast.clocks import ManualClock
-from currantmast.direct.following import (
-    Entry,
-    Follower,
-    InvalidEntry,
-    StoreUpdate,
-    Topic,
-)
+from currantmast.direct.following import Follower
 from currantmast.direct.positions import Position
 from currantmast.direct.storehealth import StoreContact, StoreHealth
+from currantmast.direct.updates import Entry, InvalidEntry, StoreUpdate, Topic
 from currantmast.errors import StoreUnavailable, WatchExpired
 from currantmast.platform.store import WATCH_MARGIN_S
 
--- a/tests/test_direct_logs.py
+++ b/tests/test_direct_logs.py
@@ -15,13 +15,7 @@
 
 from currantmast.clocks import ManualClock
 from currantmast.direct.attempts import TryLater
-from currantmast.direct.following import (
-    Entry,
-    Follower,
-    InvalidEntry,
-    StoreUpdate,
-    Topic,
-)
+from currantmast.direct.following import Follower
 from currantmast.direct.heartbeats import HeartbeatSocket
 from currantmast.direct.instance_state import (
     ConfigurationSubscriber,
@@ -34,6 +28,7 @@
 from currantmast.direct.positions import Position
 from currantmast.direct.reports import Heartbeat
 from currantmast.direct.storehealth import StoreHealth
+from currantmast.direct.updates import Entry, InvalidEntry, StoreUpdate, Topic
 from currantmast.errors import StoreUnavailable, WatchExpired
 from currantmast.messages import Address
 from currantmast.outcomes import NotRun, OutcomeUnknown, Reason
--- a/tests/test_direct_relays.py
+++ b/tests/test_direct_relays.py
@@ -8,7 +8,6 @@
 from test_direct_following import FollowerHarness, at
 
 from currantmast.clocks import BootClock, ManualClock
-from currantmast.direct.following import Entry, InvalidEntry, StoreUpdate, Topic
 from currantmast.direct.front import FrontServer
 from currantmast.direct.members import Members
 from currantmast.direct.model import (
@@ -26,6 +25,7 @@
 from currantmast.direct.reports import Heartbeat
 from currantmast.direct.reserves import RelayedSource, list_relays
 from currantmast.direct.updatelogs import UpdateLog
+from currantmast.direct.updates import Entry, InvalidEntry, StoreUpdate, Topic
 from currantmast.errors import StoreUnavailable, WatchExpired
 from currantmast.messages import Address
 from currantmast.standins.proxy import Link
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from currantmast.direct.following import InvalidEntry
 from currantmast.direct.model import Location, TargetState, WeightedService, WorkKind
+from currantmast.direct.updates import InvalidEntry
 from currantmast.errors import SettingsError
 from currantmast.messages import Address
 from currantmast.platform.boot import decode_boot
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -5,8 +5,8 @@
 from msgspec.structs import replace
 
 from currantmast.clocks import BootClock
-from currantmast.direct.following import InvalidEntry, Topic
 from currantmast.direct.model import InstanceRecord, Location
+from currantmast.direct.updates import InvalidEntry, Topic
 from currantmast.errors import (
     StoreConflict,
     StoreOutcomeUnknown,
