Don't take the entries of a restored store for the present ones

After a restore the store lists targets as they were when the copy was taken, until their owners write again. Targets and evacuations that it had lost were dropped at once (requests to an evacuated failure domain, no capacity), and targets that had left or were leaving looked ready and got requests again (DRAIN).

The first list of a new era now defers what it lacks, for every topic, as the list after a long outage did for targets: up to 2.2 s, and no longer than the recovery time allows. Entries carry the run and sequence number of their target; while entries that nobody renews may not have lapsed yet (three check-ins and a second), an entry older than what the target said before, or than its removal, is held back (entry_outdated). What is still listed after that is used, since its target lives.

--- a/currantmast/direct/entrytables.py
+++ b/currantmast/direct/entrytables.py
@@ -1,10 +1,11 @@
 """The entries of one topic, as updates of the store change them."""
 
-import math
 from typing import Any, Protocol
 
 from currantmast.clocks import Clock
+from currantmast.direct.model import TargetRecord
 from currantmast.direct.storehealth import StoreHealth
+from currantmast.direct.targetsequences import TargetSequences
 from currantmast.direct.updates import Entry, InvalidEntry, StoreUpdate, Topic
 from currantmast.runtime.logs import log_event
 
@@ -22,7 +23,8 @@
 class EntryTable:
     """Applies the updates of one topic, and passes the changes to a subscriber.
 
-    After an outage, targets may be missing that are back soon.
+    After an outage entries may be missing that are back soon, and after a restore the
+    store also lists what was replaced or removed since the copy was taken.
 
     Parameters
     ----------
@@ -40,7 +42,9 @@
         '_clock',
         '_health',
         '_missing',
+        '_outdated',
         '_revisions',
+        '_sequences',
         '_subscriber',
         '_topic',
     )
@@ -56,6 +60,9 @@
         self._revisions: dict[str, int] = {}
         # Entries that are missing, but may be back soon.
         self._missing: set[str] = set()
+        # Entries of a restored store that are older than what is known.
+        self._outdated: dict[str, Entry] = {}
+        self._sequences = TargetSequences()
 
     def __repr__(self) -> str:
         """Return a short description for debugging."""
@@ -67,33 +74,48 @@
         return bool(self._missing)
 
     def get_return_deadline(self) -> float:
-        """Return the time until which missing entries may be back."""
+        """Return the time until which entries that a list lacks may be back."""
+        rewritten_at = self._health.get_rewrite_deadline()
         if self._topic is not Topic.targets:
-            return -math.inf
-        return self._health.get_return_deadline()
+            return rewritten_at
+        return max(rewritten_at, self._health.get_return_deadline())
 
     def apply(self, update: StoreUpdate, *, is_full_list: bool) -> None:
         """Process a list of all entries, or the changes that a watch returned."""
         if is_full_list:
+            self._outdated.clear()
             listed = {entry.name for entry in update.entries}
             for missing in set(self._revisions) - listed:
-                self._handle_missing(missing)
+                self._handle_missing(missing, self.get_return_deadline())
         for entry in update.entries:
             self._apply_entry(entry)
         if self._clock.now() >= self.get_return_deadline():
             for name in tuple(self._missing):
                 self._drop(name, 'expired')
+        if self._outdated and not self._health.is_restoring():
+            self._apply_outdated()
 
     def _apply_entry(self, entry: Entry) -> None:
         match entry.value:
             case None:
-                self._handle_missing(entry.name)
+                self._outdated.pop(entry.name, None)
+                self._handle_missing(entry.name, self._get_lapse_deadline())
             case InvalidEntry(reason):
                 self._reject(entry, reason)
-            case value:
+            case TargetRecord() as record if self._is_outdated(record):
+                self._outdated[entry.name] = entry
                 self._missing.discard(entry.name)
-                self._revisions[entry.name] = entry.revision
-                self._subscriber.put(entry.name, value)
+                log_event('entry_outdated', topic=self._topic.value, name=entry.name)
+            case value:
+                self._put(entry, value)
+
+    def _put(self, entry: Entry, value: Any) -> None:
+        self._missing.discard(entry.name)
+        self._outdated.pop(entry.name, None)
+        self._revisions[entry.name] = entry.revision
+        if isinstance(value, TargetRecord):
+            self._sequences.put(value)
+        self._subscriber.put(entry.name, value)
 
     def _reject(self, entry: Entry, reason: str) -> None:
         if self._revisions.get(entry.name) != entry.revision:
@@ -106,11 +128,25 @@
             )
         self._drop(entry.name, 'unusable')
 
-    def _handle_missing(self, name: str) -> None:
+    def _is_outdated(self, record: TargetRecord) -> bool:
+        return self._health.is_restoring() and self._sequences.is_older(record)
+
+    def _apply_outdated(self) -> None:
+        """Apply what is still listed: its target lives, and says nothing else."""
+        for entry in tuple(self._outdated.values()):
+            self._put(entry, entry.value)
+
+    def _get_lapse_deadline(self) -> float:
+        """Return the time until which removed entries may only have lapsed."""
+        if self._topic is not Topic.targets:
+            return self._clock.now()
+        return self._health.get_return_deadline()
+
+    def _handle_missing(self, name: str, deadline: float) -> None:
         """Drop an entry at once, or at the deadline if it may be back until then."""
         if name not in self._revisions:
             return
-        for_s = self.get_return_deadline() - self._clock.now()
+        for_s = deadline - self._clock.now()
         if for_s <= 0:
             self._drop(name, 'removed')
         elif name not in self._missing:
@@ -121,6 +157,7 @@
 
     def _drop(self, name: str, cause: str) -> None:
         self._missing.discard(name)
+        self._sequences.remove(name)
         if self._revisions.pop(name, None) is not None:
             log_event('entry_gone', topic=self._topic.value, name=name, cause=cause)
         self._subscriber.remove(name)
--- a/currantmast/direct/following.py
+++ b/currantmast/direct/following.py
@@ -149,6 +149,7 @@
             return 0
         except StoreError as error:
             return self._note_failure(error, sent_at)
+        self._health.note_era(update.position.era)
         self._note_success(update.position)
         is_full_list = self._position is None
         self._position = update.position
--- a/currantmast/direct/model.py
+++ b/currantmast/direct/model.py
@@ -199,6 +199,8 @@
         Seconds for which it stays cold, from the moment the record was written.
     started_at_ms : int
         Unix milliseconds of its start; distinguishes runs under the same id.
+    sequence : int
+        Rises with each statement of a run.
     """
 
     id: str
@@ -209,6 +211,7 @@
     state: TargetState = TargetState.ready
     cold_left_s: float = 0
     started_at_ms: int = 0
+    sequence: int = 0
 
 
 class InstanceRecord(msgspec.Struct, frozen=True):
@@ -257,6 +260,8 @@
         which it must act on the store's present state.
     expiry_s : float
         Seconds for which a target must fail to renew its entry before it can expire.
+    lapse_s : float
+        Seconds after which the entry of a target that no longer renews it has expired.
     lookup_ttl_s : float
         Longest lifetime of a look-up answer, in seconds.
     """
@@ -271,6 +276,7 @@
     rate_slack: float = 0
     recovery_s: float = 3
     expiry_s: float = 3
+    lapse_s: float = 4.5
     lookup_ttl_s: float = 5
 
 
--- a/currantmast/direct/storehealth.py
+++ b/currantmast/direct/storehealth.py
@@ -12,11 +12,20 @@
 
 from currantmast.clocks import Clock
 from currantmast.direct.model import Bounds
+from currantmast.runtime.logs import log_event
 
 # Seconds after the store's recovery within which targets whose entries expired during
 # the outage write them again.
 RETURN_WINDOW_S = 2.2
 
+# Seconds after a restore of the store within which no read proves what is newest: the
+# operator may still be writing again what was lost.
+REWRITE_S = 0.5
+
+# Seconds beyond the time after which silent targets' entries lapse in which those of a
+# restored store are compared with what was known before.
+LAPSE_MARGIN_S = 1.0
+
 # Seconds before the end of the recovery time at which a missing target is dropped at the
 # latest, so that the last request to it has arrived by then.
 SEND_MARGIN_S = 0.3
@@ -91,10 +100,14 @@
         '_available',
         '_bounds',
         '_clock',
+        '_era',
         '_failed_sent_at',
         '_long_outage',
         '_peer_spans',
+        '_restored_at',
+        '_returned_after',
         'last_outage',
+        'restore_count',
     )
 
     def __init__(self, clock: Clock) -> None:
@@ -109,6 +122,12 @@
         # The last one in which entries can have expired.
         self._long_outage: Outage | None = None
         self._peer_spans: dict[str, _Span] = {}
+        self._era: int | None = None
+        # Time at which the present era was noticed, if it isn't the first, and a time
+        # after which the store came back in it.
+        self._restored_at = -math.inf
+        self._returned_after = -math.inf
+        self.restore_count = 0
 
     def __repr__(self) -> str:
         """Return a short description for debugging."""
@@ -143,6 +162,31 @@
             self._available.set()
         self._answered_at = now
 
+    def note_era(self, era: int) -> None:
+        """Record the era of an answer, before the answer itself is recorded."""
+        if self._era is None:
+            log_event('store_era', era=era)
+        elif era > self._era:
+            log_event('store_restored', level='WARNING', era=era)
+            self._restored_at = self._clock.now()
+            self._returned_after = max(self._failed_sent_at, self._answered_at)
+            self.restore_count += 1
+        self._era = max(era, self._era or 0)
+
+    def is_rewriting(self) -> bool:
+        """Return whether the operator may still write again what a restore lost."""
+        return self._clock.now() < self._restored_at + REWRITE_S
+
+    def is_restoring(self) -> bool:
+        """Return whether entries that nobody writes again may not have lapsed yet."""
+        lapse_s = self._bounds.lapse_s + LAPSE_MARGIN_S
+        return self._clock.now() < self._restored_at + lapse_s
+
+    def get_rewrite_deadline(self) -> float:
+        """Return the time until which entries that a restore lost may be back."""
+        latest = self._returned_after + self._bounds.recovery_s - SEND_MARGIN_S
+        return min(self._restored_at + RETURN_WINDOW_S, latest)
+
     def wait(self, seconds: float) -> None:
         """Wait until the store answers again, for at most `seconds` seconds."""
         self._available.wait(seconds)
--- a/currantmast/platform/boot.py
+++ b/currantmast/platform/boot.py
@@ -27,6 +27,9 @@
 # have been one interval earlier.
 EXPIRY_INTERVALS = 2
 
+# Intervals of silence after which the store removes the entry of a target.
+LAPSE_INTERVALS = 3
+
 
 class _Limits(msgspec.Struct):
     cpu_share: float = 1
@@ -170,6 +173,7 @@
             lookup_ttl_s=bounds.ttl_max_s,
             recovery_s=bounds.touch_s,
             expiry_s=boot.provider.beat_s * EXPIRY_INTERVALS,
+            lapse_s=boot.provider.beat_s * LAPSE_INTERVALS,
         ),
         capacity=_compute_capacity(boot.own.limits),
         bootstrap=boot.own.bootstrap,
--- a/currantmast/platform/documents.py
+++ b/currantmast/platform/documents.py
@@ -116,6 +116,8 @@
     # Start time in Unix milliseconds, always a whole number; distinguishes the runs that
     # share an id.
     born: int = 0
+    # Counts the statements of a run.
+    seq: int = 0
 
 
 class _InstanceSpec(msgspec.Struct):
@@ -274,6 +276,7 @@
         state=TargetState(server.state),
         cold_left_s=max(0, server.cold_left_s),
         started_at_ms=server.born,
+        sequence=server.seq,
     )
 
 
--- a/currantmast/platform/store.py
+++ b/currantmast/platform/store.py
@@ -23,7 +23,6 @@
 )
 from currantmast.messages import Address
 from currantmast.platform.documents import DECODERS, encode_instance
-from currantmast.runtime.logs import log_event
 
 # Names of the header with the number of times that the store came back from a copy. The
 # page that introduced it gives the name without the prefix that other headers bear.
@@ -59,13 +58,12 @@
         Source of time.
     """
 
-    __slots__ = ('_address', '_connections', '_era', 'call_count')
+    __slots__ = ('_address', '_connections', 'call_count')
 
     def __init__(self, address: Address, clock: Clock) -> None:
         self._address = address
         self._connections = TargetConnections(clock)
         self.call_count = 0
-        self._era: int | None = None
 
     def __repr__(self) -> str:
         """Return a short description for debugging."""
@@ -188,22 +186,13 @@
         request = TargetRequest(method, path, headers, body)
         self.call_count += 1
         try:
-            answer = self._connections.exchange(
+            return self._connections.exchange(
                 channel, self._address, request, timeout_s, lambda _: True
             )
         except TransportError as error:
             # Other pooled connections to the store may be dead as well.
             self._connections.close_all_idle()
             raise StoreUnavailable(str(error)) from error
-        self._note_era(_find_era(answer))
-        return answer
-
-    def _note_era(self, era: int) -> None:
-        if self._era is None:
-            log_event('store_era', era=era)
-        elif era > self._era:
-            log_event('store_restored', level='WARNING', era=era)
-        self._era = max(era, self._era or 0)
 
 
 def _find_era(answer: Answer) -> int:
--- a/tests/test_direct_restored.py
+++ b/tests/test_direct_restored.py
@@ -83,3 +83,92 @@
     fleet.network.cut_off.clear()
     fleet.run(1.5)
     assert set(fleet.versions().values()) == {6}
+
+
+def list_targets(fleet):
+    """Return which targets the instances may use, once for all that agree."""
+    return {
+        frozenset(found.record.id for found in instance.state.targets.list_all_usable())
+        for instance in fleet.instances.values()
+    }
+
+
+@pytest.mark.parametrize('fleet', SIZES, indirect=True)
+def test_targets_that_a_restore_lost_stay_until_they_are_written_again(fleet):
+    """Guards against a table of targets that a restore empties."""
+    copy = fleet.store.take_copy()
+    fleet.store.put('servers', 'new', make_server(40))
+    fleet.run(1)
+    before = list_targets(fleet)
+    assert before == {frozenset((*(f't{n}' for n in range(1, 20)), 'new'))}
+    lose(fleet, copy)
+    for _ in range(3):
+        fleet.run(REWRITE_S)
+        assert list_targets(fleet) == before
+    fleet.store.put('servers', 'new', make_server(40, seq=9))
+    fleet.run(2)
+    assert list_targets(fleet) == before
+
+
+def test_target_that_a_restore_lost_is_dropped_if_it_is_not_written_again(fleet):
+    copy = fleet.store.take_copy()
+    fleet.store.put('servers', 'new', make_server(40))
+    fleet.run(1)
+    lose(fleet, copy)
+    fleet.run(3)
+    assert list_targets(fleet) == {frozenset(f't{n}' for n in range(1, 20))}
+
+
+@pytest.mark.parametrize('fleet', SIZES, indirect=True)
+def test_targets_that_left_before_a_restore_get_no_requests_after_it(fleet):
+    """Guards against entries from the copy of targets that are leaving or have left."""
+    copy = fleet.store.take_copy()
+    fleet.store.put('servers', 't2', make_server(2, seq=7, state='draining'))
+    fleet.store.remove('servers', 't3')
+    fleet.run(1)
+    expected = {frozenset(f't{n}' for n in range(1, 20) if n not in {2, 3})}
+    assert list_targets(fleet) == expected
+    lose(fleet, copy)
+    for _ in range(4):
+        fleet.run(1)
+        assert list_targets(fleet) == expected
+    fleet.store.remove('servers', 't2')
+    fleet.store.remove('servers', 't3')
+    fleet.run(3)
+    assert list_targets(fleet) == expected
+
+
+def test_target_that_a_restore_brings_back_and_that_lives_is_used_again(fleet):
+    copy = fleet.store.take_copy()
+    fleet.store.remove('servers', 't3')
+    fleet.run(1)
+    lose(fleet, copy)
+    fleet.run(1)
+    fleet.store.put('servers', 't3', make_server(3, seq=12, slots=5))
+    fleet.run(1.5)
+    assert all('t3' in targets for targets in list_targets(fleet))
+
+
+def test_entry_of_a_target_that_nobody_removes_is_used_in_the_end(fleet):
+    """Guards against a living target whose entry the store needn't write again."""
+    copy = fleet.store.take_copy()
+    fleet.store.remove('servers', 't3')
+    fleet.run(1)
+    lose(fleet, copy)
+    fleet.run(8)
+    assert all('t3' in targets for targets in list_targets(fleet))
+
+
+@pytest.mark.parametrize('fleet', SIZES, indirect=True)
+def test_evacuation_that_a_restore_lost_stays_in_force(fleet):
+    """Guards against requests to a failure domain before its evacuation is taken back."""
+    copy = fleet.store.take_copy()
+    fleet.store.put('evacuations', 'fife-0', {})
+    fleet.run(1)
+    lose(fleet, copy)
+    for _ in range(3):
+        fleet.run(REWRITE_S)
+        assert list_targets(fleet) == {frozenset()}
+    fleet.store.put('evacuations', 'fife-0', {})
+    fleet.run(2)
+    assert list_targets(fleet) == {frozenset()}
