Renew no lease from a restored store that lacks the newest configuration

A read of the configuration proves that it is the newest, so it renews the right to admit keyed requests. After a restore it proves nothing until the operator has written again what was lost: a key whose withdrawal was lost would be admitted longer than the bound on withdrawn keys allows (CONFIG), above all by a run that starts then and knows no more.

In the first half second of an era, and while the store lists an older version than the one in force, reads renew nothing, for 5.5 s at most. A run whose first read is older than what peers tell in its first 2 s has no lease until it caught up, for 5 s at most.

--- a/currantmast/direct/freshness.py
+++ b/currantmast/direct/freshness.py
@@ -15,6 +15,14 @@
 LEASE_MARGIN_S = 0.7
 
 
+# Seconds for which no read of an older version counts after a peer told of a newer one.
+# A store that came back from a copy may not have the newer one yet.
+NEWER_VERSION_S = 5.0
+
+# Seconds after the first read of a run within which it has heard its peers.
+START_SYNC_S = 2.0
+
+
 class Confirmation(msgspec.Struct, frozen=True, array_like=True):
     """A peer's newest successful read of the configuration, as sent in its heartbeats.
 
@@ -53,13 +61,22 @@
         Source of time.
     """
 
-    __slots__ = ('_clock', '_confirmed_at', 'newest_version')
+    __slots__ = (
+        '_clock',
+        '_confirmed_at',
+        '_first_confirmed_at',
+        '_newest_told_at',
+        'newest_version',
+    )
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._confirmed_at = -math.inf
-        # Newest configuration version that a peer said it has in force.
+        self._first_confirmed_at = math.inf
+        # Newest configuration version that a peer said it has in force, and when one
+        # said so first.
         self.newest_version = 0
+        self._newest_told_at = -math.inf
 
     def __repr__(self) -> str:
         """Return a short description for debugging."""
@@ -72,6 +89,7 @@
 
     def confirm(self, sent_at: float) -> None:
         """Record a successful read that was sent at `sent_at`."""
+        self._first_confirmed_at = min(self._first_confirmed_at, sent_at)
         self._confirmed_at = max(self._confirmed_at, sent_at)
 
     def confirm_by_peer(self, confirmation: Confirmation, local_version: int) -> bool:
@@ -94,6 +112,23 @@
         """Return the seconds since the newest confirmation; inf before the first."""
         return self._clock.now() - self._confirmed_at
 
+    def is_behind(self, local_version: int) -> bool:
+        """Return whether a peer has told lately of a newer version than the local one."""
+        told_s = self._clock.now() - self._newest_told_at
+        return self.newest_version > local_version and told_s < NEWER_VERSION_S
+
+    def started_behind(self, local_version: int) -> bool:
+        """Return whether this run began with a version older than that of its peers.
+
+        Its first read then came from a store that lacks the newest configuration. Later
+        on a read proves that the local version was the newest when it was sent.
+        """
+        told_at = self._newest_told_at
+        return (
+            self.is_behind(local_version)
+            and told_at < self._first_confirmed_at + START_SYNC_S
+        )
+
     def is_valid(self, revoke_s: float) -> bool:
         """Return whether requests that require an API key may be admitted.
 
@@ -101,6 +136,8 @@
         ----------
         revoke_s : float
             Time in seconds within which a withdrawn key must stop working.
+        local_version : int
+            Version of the configuration in force here.
         """
         return self.age() < revoke_s - LEASE_MARGIN_S
 
@@ -109,4 +146,6 @@
             log_event(
                 'configuration_behind', version=local_version, peer_version=version
             )
-        self.newest_version = max(self.newest_version, version)
+        if version > self.newest_version:
+            self.newest_version = version
+            self._newest_told_at = self._clock.now()
--- a/currantmast/direct/instance_state.py
+++ b/currantmast/direct/instance_state.py
@@ -52,6 +52,8 @@
         self.retries = RetryBudgets(clock)
         self.store_health = StoreHealth(clock)
         self.members = Members(own, clock)
+        # Version of the configuration in the store, when it was read last.
+        self.stored_version = 0
         self.targets_listed = False
         # Time at which the members were listed for the first time.
         self.members_listed_at = math.inf
@@ -74,6 +76,24 @@
         known = self.configuration.value is not None and self.targets_listed
         return known and not self.leaving
 
+    def confirm_configuration(self, sent_at: float) -> None:
+        """Renew the lease after a read that was sent at `sent_at`.
+
+        After a restore the store may lack the newest version, by which a key was taken
+        away, until the operator has written it again.
+        """
+        version = self.configuration.version
+        health = self.store_health
+        lacks_newest = health.is_restoring() and self.stored_version < version
+        if health.is_rewriting() or lacks_newest or self.freshness.is_behind(version):
+            return
+        self.freshness.confirm(sent_at)
+
+    def has_lease(self) -> bool:
+        """Return whether requests that require an API key may be admitted."""
+        behind = self.freshness.started_behind(self.configuration.version)
+        return self.freshness.is_valid(self.bounds.revoke_s) and not behind
+
     def list_demands(self) -> tuple[DemandReport, ...]:
         """Return the demand that the other active members reported, by team."""
         return self.members.reports.list_demands(self._list_expected())
@@ -124,6 +144,7 @@
 
     def put(self, name: str, value: Configuration) -> None:
         """Put a configuration in force if it is newer."""
+        self._state.stored_version = value.version
         if self._state.configuration.adopt(value):
             self._state.rate_limiter.replace_limits(value.teams.values())
             log_event('configuration_in_force', version=value.version)
--- a/currantmast/direct/process.py
+++ b/currantmast/direct/process.py
@@ -187,7 +187,7 @@
             (
                 Topic.configuration,
                 ConfigurationSubscriber(state),
-                state.freshness.confirm,
+                state.confirm_configuration,
             ),
             (
                 Topic.targets,
--- a/currantmast/direct/steering.py
+++ b/currantmast/direct/steering.py
@@ -112,7 +112,7 @@
 
     def _admit_team(self, call: CallerRequest) -> Team | OutboundAnswer:
         state = self._state
-        if not state.freshness.is_valid(state.bounds.revoke_s):
+        if not state.has_lease():
             return self._refuse(call, Reason.no_lease, BOOT_RETRY_AFTER_S)
         team = state.configuration.find_team(call.key or '')
         if team is None:
--- a/tests/followingfleet.py
+++ b/tests/followingfleet.py
@@ -114,7 +114,7 @@
                 subscriber,
                 self.clock,
                 self.state.store_health,
-                self.state.freshness.confirm
+                self.state.confirm_configuration
                 if topic is Topic.configuration
                 else self._note_members_listed,
             )
@@ -144,7 +144,7 @@
             receiver.heartbeats._handle_heartbeat(decoded)
 
     def has_lease(self):
-        return self.state.freshness.is_valid(self.state.bounds.revoke_s)
+        return self.state.has_lease()
 
 
 class FollowingFleet:
@@ -197,6 +197,14 @@
     def paused(self):
         return self.network.cut_off
 
+    def restart(self, name):
+        """Replace an instance by a new run, which knows nothing, and return it."""
+        old = self.instances[name]
+        old.heartbeats.__exit__()
+        record = msgspec.structs.replace(old.record, incarnation='next run')
+        self.instances[name] = FollowingInstance(record, self.records, self.network)
+        return self.instances[name]
+
     def versions(self):
         return {
             name: instance.state.configuration.version
--- a/tests/test_direct_restored.py
+++ b/tests/test_direct_restored.py
@@ -172,3 +172,43 @@
     fleet.store.put('evacuations', 'fife-0', {})
     fleet.run(2)
     assert list_targets(fleet) == {frozenset()}
+
+
+@pytest.mark.parametrize('fleet', SIZES, indirect=True)
+def test_restored_store_without_the_newest_configuration_renews_no_lease(fleet):
+    """Guards against keys in use again that the lost configuration had withdrawn."""
+    copy = fleet.store.take_copy()
+    put_configuration(fleet, 5)
+    fleet.run(1)
+    lose(fleet, copy)
+    returned_at = fleet.clock.now()
+    fleet.run(2)
+    leases = [found.state.freshness for found in fleet.instances.values()]
+    assert all(lease.confirmed_at < returned_at for lease in leases)
+    put_configuration(fleet, 5)
+    fleet.run(1.5)
+    assert not fleet.list_without_lease()
+
+
+def test_new_run_needs_the_version_that_its_peers_have(fleet):
+    """Guards against a withdrawn key in use again after a restart in a restored store."""
+    copy = fleet.store.take_copy()
+    put_configuration(fleet, 5)
+    fleet.run(1)
+    lose(fleet, copy)
+    restarted = fleet.restart('i003')
+    fleet.run(1)
+    assert not restarted.has_lease()
+    put_configuration(fleet, 5)
+    fleet.run(1)
+    assert restarted.has_lease()
+
+
+def test_lost_configuration_that_is_not_written_again_stops_nobody_for_long(fleet):
+    copy = fleet.store.take_copy()
+    put_configuration(fleet, 5)
+    fleet.run(1)
+    lose(fleet, copy)
+    fleet.run(7)
+    assert not fleet.list_without_lease()
+    assert set(fleet.versions().values()) == {5}
