Register an instance again after a restore of the store

An instance whose record was written after the copy was taken is listed by nobody after the restore, unless it had read its own record before: the others send it no heartbeats, and look-ups don't name it. Each instance now writes its record again in a new era; a record that is still there isn't changed by that.

--- a/currantmast/direct/process.py
+++ b/currantmast/direct/process.py
@@ -108,6 +108,8 @@
         self._stopping = Event()
         self._members_listed = Event()
         self._registered = False
+        # Restores of the store that were known when the record was written.
+        self._registered_restore = 0
         self._instances = InstanceSubscriber(self.state)
 
     def __repr__(self) -> str:
@@ -239,9 +241,9 @@
             self._clock.sleep(HOUSEKEEPING_INTERVAL_S)
 
     def _register(self) -> None:
-        if self._registered and not self._instances.own_record_lost:
-            return
-        if self.state.leaving:
+        restore = self.state.store_health.restore_count
+        is_lost = self._instances.own_record_lost or restore > self._registered_restore
+        if self.state.leaving or (self._registered and not is_lost):
             return
         try:
             self._store.put_instance(self.state.members.own)
@@ -249,6 +251,7 @@
             log_event('not_registered', level='WARNING', error=error)
             return
         self._registered = True
+        self._registered_restore = restore
         self._instances.own_record_lost = False
 
     def _remove_member(self, record: InstanceRecord) -> None:
