Read the other entries beside one that can't be decoded

One entry that another writer left among those of the targets, nested 5,000 deep, ended every instance again and again (RecursionError); one with a number that is too large, or with bytes that are no text, made every page unreadable, so nobody followed the list any more. A number of slots or a start time beyond all sizes passed, and overflowed in arithmetic or in the encoding for reserves.

Cause: a page was decoded whole. Slots, start time and sequence number have bounds. The class: a batch that one element spoils; heartbeats and relayed updates come from our own encoder only.

A port out of range was rejected before already.

--- a/currantmast/platform/documents.py
+++ b/currantmast/platform/documents.py
@@ -6,7 +6,7 @@
 import math
 from collections.abc import Callable
 from types import MappingProxyType
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
@@ -28,6 +28,9 @@
 
 CONFIGURATION_NAME = 'main'
 
+# Most requests that a target may say it runs at the same time.
+MAX_SLOTS = 1_000_000
+
 # Region of each failure domain, which the store calls a zone. Stored targets name only
 # their zone; `configure_regions` sets the regions from the settings once at start.
 _regions: dict[str, str] = {}
@@ -106,18 +109,22 @@
     idle_s: float = 15
 
 
+# Integers that every encoding between instances can carry.
+_Whole = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+
+
 class _ServerSpec(msgspec.Struct):
     service: str
     addr: str
     zone: str
-    slots: int
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
     state: str
     cold_left_s: float = 0
     # Start time in Unix milliseconds, always a whole number; distinguishes the runs that
     # share an id.
-    born: int = 0
+    born: _Whole = 0
     # Counts the statements of a run.
-    seq: int = 0
+    seq: _Whole = 0
 
 
 class _InstanceSpec(msgspec.Struct):
@@ -178,7 +185,7 @@
 def _decode_or_invalid(build: Callable[[Any], Any], spec: Any) -> Any:
     try:
         return build(spec)
-    except (msgspec.MsgspecError, ValueError) as error:
+    except (msgspec.MsgspecError, ValueError, OverflowError) as error:
         return InvalidEntry(str(error))
 
 
@@ -265,8 +272,8 @@
     server = msgspec.convert(spec, _ServerSpec)
     if server.zone not in _regions:
         raise DocumentRejected(f'unknown zone {server.zone}')
-    if server.slots < 1 or not math.isfinite(server.cold_left_s):
-        raise DocumentRejected('slots must be positive and cold_left_s finite')
+    if not math.isfinite(server.cold_left_s):
+        raise DocumentRejected('cold_left_s must be finite')
     return TargetRecord(
         id=name,
         service=server.service,
--- a/currantmast/platform/store.py
+++ b/currantmast/platform/store.py
@@ -2,11 +2,8 @@
 
 from http import HTTPStatus
 from types import MappingProxyType
-from typing import Any
 from urllib.parse import quote, urlencode
 
-import msgspec
-
 from currantmast.clocks import Clock
 from currantmast.direct.answers import Answer
 from currantmast.direct.exchanges import TargetConnections, TargetRequest
@@ -22,7 +19,14 @@
     WatchExpired,
 )
 from currantmast.messages import Address
-from currantmast.platform.documents import DECODERS, encode_instance
+from currantmast.platform.documents import encode_instance
+from currantmast.platform.pages import (
+    Page,
+    decode_events,
+    decode_items,
+    decode_object,
+    decode_page,
+)
 
 # Names of the header with the number of times that the store came back from a copy. The
 # page that introduced it gives the name without the prefix that other headers bear.
@@ -82,15 +86,17 @@
         query: dict[str, str] = {}
         while True:
             page, position = self._read(topic, query, CALL_TIMEOUT_S)
-            items = _get_field(page, 'items', list)
-            entries.extend(_decode_object(topic, item) for item in items)
+            found = decode_items(topic, page)
+            entries.extend(found)
             # A watch from the first page's position repeats the changes between pages.
             first = first or position
             if position.era != first.era:
                 raise StoreUnavailable('the store was restored between two pages')
-            if not page.get('has_more'):
+            if not page.has_more:
                 return StoreUpdate(first, tuple(entries))
-            query = {'after': _find_name(items[-1]) if items else ''}
+            if not found:
+                raise StoreUnavailable('a page that has more names no object')
+            query = {'after': found[-1].name}
 
     def watch(self, topic: Topic, position: Position, wait_s: float) -> StoreUpdate:
         """Return the changes after `position`, waiting up to `wait_s` for the first.
@@ -108,10 +114,7 @@
         if newest.era != position.era:
             # It may have given the revision out again, so changes may be missing.
             raise WatchExpired(f'{topic.value}: {position} is of another era')
-        events = _get_field(page, 'events', list)
-        return StoreUpdate(
-            newest, tuple(_decode_event(topic, event) for event in events)
-        )
+        return StoreUpdate(newest, decode_events(topic, page))
 
     def put_instance(self, record: InstanceRecord) -> None:
         """Create or replace the record of an instance.
@@ -144,7 +147,7 @@
         if answer.status == HTTPStatus.NOT_FOUND:
             return
         _raise_for_status(answer)
-        stored = _decode_object(Topic.instances, _decode_page(answer))
+        stored = decode_object(Topic.instances, answer.body)
         if stored.value is None or stored.value == record:
             deleted = self._call('DELETE', f'{path}?rev={stored.revision}')
             if deleted.status != HTTPStatus.NOT_FOUND:
@@ -152,7 +155,7 @@
 
     def _read(
         self, topic: Topic, query: dict[str, str], timeout_s: float
-    ) -> tuple[dict, Position]:
+    ) -> tuple[Page, Position]:
         """Return a page and the position of the store when it answered."""
         path = f'/objects/{OBJECT_KINDS[topic]}'
         if query:
@@ -161,9 +164,8 @@
         if answer.status == HTTPStatus.GONE:
             raise WatchExpired(f'{topic.value}: {query}')
         _raise_for_status(answer)
-        page = _decode_page(answer)
-        revision = _get_field(page, 'current_rev', int)
-        return page, Position(_find_era(answer), revision)
+        page = decode_page(answer.body)
+        return page, Position(_find_era(answer), page.current_rev)
 
     def _call(self, method: str, path: str, body: bytes = b'') -> Answer:
         try:
@@ -211,46 +213,3 @@
         raise StoreError('the object does not exist')
     if answer.status >= HTTPStatus.BAD_REQUEST:
         raise StoreUnavailable(f'status {answer.status}')
-
-
-def _decode_page(answer: Answer) -> dict:
-    try:
-        page = msgspec.json.decode(answer.body)
-    except msgspec.MsgspecError as error:
-        raise StoreUnavailable(f'unreadable answer: {error}') from error
-    if not isinstance(page, dict):
-        raise StoreUnavailable('the answer is not a JSON object')
-    return page
-
-
-def _get_field(page: dict, field: str, kind: type) -> Any:
-    value = page.get(field)
-    if not isinstance(value, kind):
-        raise StoreUnavailable(f'the answer has no valid {field}')
-    return value
-
-
-def _decode_event(topic: Topic, event: Any) -> Entry:
-    if not isinstance(event, dict):
-        raise StoreUnavailable('an event is not a JSON object')
-    entry = _decode_object(topic, event.get('object'))
-    if event.get('deleted'):
-        return Entry(entry.name, entry.revision, None)
-    return entry
-
-
-def _decode_object(topic: Topic, item: Any) -> Entry:
-    name = _find_name(item)
-    meta = item['meta']
-    revision = meta.get('rev') if isinstance(meta.get('rev'), int) else 0
-    if meta.get('deleting'):
-        return Entry(name, revision, None)
-    return Entry(name, revision, DECODERS[topic](name, item.get('spec')))
-
-
-def _find_name(item: Any) -> str:
-    meta = item.get('meta') if isinstance(item, dict) else None
-    name = meta.get('name') if isinstance(meta, dict) else None
-    if not isinstance(name, str):
-        raise StoreUnavailable('an object has no name')
-    return name
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -1,6 +1,7 @@
 """Client of the platform's store, tested against the stand-in store."""
 
 import gevent
+import msgspec
 import pytest
 from msgspec.structs import replace
 
@@ -15,7 +16,7 @@
 )
 from currantmast.messages import Address
 from currantmast.platform.documents import configure_regions
-from currantmast.platform.store import ObjectStore
+from currantmast.platform.store import OBJECT_KINDS, ObjectStore
 from currantmast.standins.platformstore import PlatformStore
 
 HERE = Location('fife', 'fife-a')
@@ -141,3 +142,47 @@
     standin.faults.delay_s = 3
     with pytest.raises(StoreOutcomeUnknown):
         client.put_instance(RECORD)
+
+
+ODD_SPECS = {
+    'nested deep': b'{"zone":' + b'[' * 5000 + b']' * 5000 + b'}',
+    'nested deep, with brackets in text': b'{"a":"]}\\"]","zone":'
+    + b'{"a":' * 5000
+    + b'"]"'
+    + b'}' * 5000
+    + b'}',
+    'number too large': b'{"slots":1e999}',
+    'very long number': b'{"slots":' + b'9' * 400 + b'}',
+    'no text': b'{"zone":"\xff\xfe"}',
+    'port out of range': b'{"service":"s1","addr":"10.0.0.1:99999","zone":"fife-a",'
+    b'"slots":3,"state":"ready"}',
+    'many slots': b'{"service":"s1","addr":"10.0.0.1:1","zone":"fife-a",'
+    b'"slots":' + b'9' * 400 + b',"state":"ready"}',
+    'start beyond all clocks': b'{"service":"s1","addr":"10.0.0.1:1","zone":"fife-a",'
+    b'"slots":3,"state":"ready","born":99999999999999999999}',
+    'long cold': b'{"service":"s1","addr":"10.0.0.1:1","zone":"fife-a",'
+    b'"slots":3,"state":"ready","cold_left_s":' + b'9' * 400 + b'}',
+}
+
+
+@pytest.mark.parametrize('topic', [Topic.targets, Topic.configuration, Topic.instances])
+@pytest.mark.parametrize('spec', ODD_SPECS.values(), ids=ODD_SPECS)
+def test_odd_entry_stops_nobody_from_reading_the_others(standin, client, topic, spec):
+    """Guards against instances that end, or follow nothing, because of one entry."""
+    kind = OBJECT_KINDS[topic]
+    position = client.list_all(topic).position
+    standin.put(kind, 'i-1', make_server(1))
+    standin.put(kind, 'odd', msgspec.Raw(spec))
+    standin.put(kind, 'z-1', make_server(2))
+    for update in (client.list_all(topic), client.watch(topic, position, 0)):
+        names = [entry.name for entry in update.entries]
+        assert names == ['i-1', 'odd', 'z-1']
+        assert isinstance(update.entries[1].value, InvalidEntry)
+
+
+def test_object_without_a_name_is_left_out(standin, client):
+    standin.put('servers', 'i-1', make_server(1))
+    standin.put('servers', 'odd', make_server(2))
+    standin._stored['servers', 'odd']['meta']['name'] = ['odd']
+    names = [entry.name for entry in client.list_all(Topic.targets).entries]
+    assert names == ['i-1']
