Say that an answer is incomplete when nothing follows an interim one

The second test found that the end of the connection right after an interim answer, or one to another request, was handled as the end of that answer again, 16 times over, and then reported as too large. The head of an answer that has ended no longer counts as complete.

--- a/currantmast/direct/answers.py
+++ b/currantmast/direct/answers.py
@@ -218,6 +218,7 @@
 
     def on_message_complete(self) -> None:
         """Store the answer if it belongs to the request, and discard it otherwise."""
+        self._head_complete = False
         status = self._parser.get_status_code()
         self._keep_alive = self._parser.should_keep_alive()
         if status < FIRST_FINAL_STATUS:
--- a/tests/test_direct_exchanges.py
+++ b/tests/test_direct_exchanges.py
@@ -7,6 +7,7 @@
 from gevent.server import StreamServer
 
 from currantmast.clocks import BootClock
+from currantmast.direct.answers import AnswerReader, BufferedBytes
 from currantmast.direct.exchanges import TargetConnections, TargetRequest
 from currantmast.errors import (
     AnswerIncomplete,
@@ -15,6 +16,7 @@
     ProgressTimeout,
 )
 from currantmast.messages import Address
+from currantmast.platform.wire import matches_request
 
 
 def make_answer(request_id, body=b'ok', extra=''):
@@ -166,3 +168,64 @@
         # What else may come on that connection is not waited for.
         send(target, '3')
         assert target.connections == 2
+
+
+def make_refusal(request_id=None):
+    echoed = f'Id: {request_id}\r\n' if request_id else ''
+    head = 'HTTP/1.1 503 Service Unavailable\r\nX-Currantmast-Not-Executed: 1\r\n'
+    return f'{head}{echoed}Content-Length: 0\r\n\r\n'.encode().replace(
+        b'Id:', b'X-Currantmast-Request-Id:'
+    )
+
+
+def make_stamped(request_id):
+    head = f'HTTP/1.1 200 OK\r\nX-Currantmast-Request-Id: {request_id}\r\n'
+    return (
+        f'{head}X-Currantmast-Server-Stamp: s\r\nContent-Length: 2\r\n\r\nok'.encode()
+    )
+
+
+@pytest.mark.parametrize('refusal', [make_refusal(), make_refusal('r1')])
+@pytest.mark.parametrize('delay_s', [0.0, 0.05])
+def test_refusal_written_once_more_refuses_no_later_request(refusal, delay_s):
+    """Guards against "not run" for a request that runs, which is then sent elsewhere."""
+    with open_target(
+        [refusal], [refusal, delay_s, make_stamped('r2')], [make_stamped('r2')]
+    ) as target:
+        statuses = []
+        for request_id in ('r1', 'r2'):
+            request = TargetRequest('POST', '/a', (('Host', 'h'),), b'x')
+            answer = target.pool.exchange(
+                't',
+                target.address,
+                request,
+                1,
+                lambda found, sent=request_id: matches_request(sent, found),
+            )
+            statuses.append(answer.status)
+    assert statuses == [503, 200]
+    assert len(target.requests) == 2
+
+
+HEAD = (
+    b'HTTP/1.1 200 OK\r\nX-Currantmast-Request-Id: r1\r\n'
+    b'X-Currantmast-Server-Stamp: s\r\nContent-Length: 2\r\n\r\n'
+)
+INTERIM = b'HTTP/1.1 100 Continue\r\n\r\n'
+EARLIER = b'HTTP/1.1 204 No Content\r\nX-Currantmast-Request-Id: r0\r\n\r\n'
+
+
+@pytest.mark.parametrize(
+    'before', [b'', INTERIM, EARLIER], ids=['', 'interim', 'other']
+)
+@pytest.mark.parametrize('length', range(len(HEAD)))
+def test_answer_that_ends_within_its_head_is_incomplete(before, length):
+    """Guards against an empty or short body that is framed as the whole one."""
+    reader = AnswerReader(
+        lambda found: matches_request('r1', found), 0, BufferedBytes()
+    )
+    if before + HEAD[:length]:
+        reader.feed(before + HEAD[:length])
+    with pytest.raises(AnswerIncomplete):
+        reader.finish()
+    assert reader.answer is None
