Keep the listed runs of targets once, for all that belongs to a run

The limits that targets name were the only user of ListedRuns and held it. What targets say of themselves in answers belongs to a run too, so the instance's state holds it now. No behavior changes; the tests of limits pass as before.

--- a/currantmast/direct/heartbeats.py
+++ b/currantmast/direct/heartbeats.py
@@ -210,13 +210,12 @@
             state.freshness.confirm_by_peer(confirmation, version)
 
     def _note_limits(self, heartbeat: Heartbeat) -> None:
-        limits = self._state.target_limits
         known = {
             target_id: named
             for target_id, named in heartbeat.limited.named.items()
-            if target_id in limits.runs
+            if target_id in self._state.target_runs
         }
-        limits.note_peer(known)
+        self._state.target_limits.note_peer(known)
 
     def _update_from_members(self) -> None:
         state = self._state
--- a/currantmast/direct/targetlimits.py
+++ b/currantmast/direct/targetlimits.py
@@ -13,7 +13,6 @@
 
 from currantmast.clocks import Clock
 from currantmast.direct.demands import DemandReport
-from currantmast.direct.listedruns import ListedRuns
 from currantmast.direct.rates import FleetRateLimiter
 from currantmast.runtime.logs import log_event
 
@@ -121,13 +120,12 @@
         Random number generator.
     """
 
-    __slots__ = ('_clock', '_limiter', '_limits', '_statements', 'runs')
+    __slots__ = ('_clock', '_limiter', '_limits', '_statements')
 
     def __init__(self, clock: Clock, rng: Random | None = None) -> None:
         self._clock = clock
         self._statements: dict[str, _Statement] = {}
         self._limits: dict[str, TargetLimit] = {}
-        self.runs = ListedRuns(clock)
         self._limiter = FleetRateLimiter(clock, rng)
 
     def __len__(self) -> int:
@@ -154,15 +152,10 @@
                 statement = _Statement(limit.rate, answered_at, own=False)
                 self._record(target_id, statement)
 
-    def note_listed(self, target_id: str, started_at_ms: int) -> None:
-        """Record the run of a target that is listed; a new run has no limit."""
-        if self.runs.put(target_id, started_at_ms):
-            self._forget(target_id)
-
-    def note_unlisted(self, target_id: str) -> None:
-        """Record that a target isn't listed any more; its limit is kept for a while."""
-        for gone in self.runs.remove(target_id):
-            self._forget(gone)
+    def forget(self, target_id: str) -> None:
+        """Drop what is known about a run of a target that has ended."""
+        if self._statements.pop(target_id, None) is not None:
+            self._update_limits()
 
     def select_limited(self, target_ids: Iterable[str]) -> LimitedTargets:
         """Return which of the targets have no token, or none to spare, for a request.
@@ -207,10 +200,6 @@
             return None
         return TargetLimitReport(named, demands, admitted)
 
-    def _forget(self, target_id: str) -> None:
-        if self._statements.pop(target_id, None) is not None:
-            self._update_limits()
-
     def _select_without(
         self, limits: Iterable[TargetLimit], spare: float
     ) -> frozenset[str]:
