Send nothing more to a target that says in an answer that it leaves

The header was ignored, so an instance that had not yet read the entry, or couldn't, went on sending.

An answer that belongs to the request, also a failure or a refusal, now ends the use of that run of the target at this instance, whatever its entry says, and also when the entry is missing for a moment; a new run has no notice. A misdirected answer comes from another target and says nothing.

--- a/currantmast/direct/heartbeats.py
+++ b/currantmast/direct/heartbeats.py
@@ -213,7 +213,7 @@
         known = {
             target_id: named
             for target_id, named in heartbeat.limited.named.items()
-            if target_id in self._state.target_runs
+            if target_id in self._state.targets.runs
         }
         self._state.target_limits.note_peer(known)
 
--- a/currantmast/direct/instance_state.py
+++ b/currantmast/direct/instance_state.py
@@ -9,7 +9,6 @@
 from currantmast.direct.demands import DemandReport
 from currantmast.direct.exchanges import TargetConnections
 from currantmast.direct.freshness import Freshness
-from currantmast.direct.listedruns import ListedRuns
 from currantmast.direct.members import Members
 from currantmast.direct.model import (
     Bounds,
@@ -46,7 +45,6 @@
         self.service_picker = WeightedRoundRobin()
         self.freshness = Freshness(clock)
         self.targets = TargetTable(clock)
-        self.target_runs = ListedRuns(clock)
         self.target_limits = TargetLimits(clock)
         self.cold_start_limit = ColdStartLimit(own.id)
         self.placement = Placement(own.location, clock)
@@ -170,7 +168,7 @@
         self._state.targets.put(value)
         if known is None or known.record.started_at_ms != value.started_at_ms:
             self._connections.close_idle(name)
-        if self._state.target_runs.put(name, value.started_at_ms):
+        if self._state.targets.runs.put(name, value.started_at_ms):
             self._forget_run(name)
         log_event(
             'target_listed',
@@ -185,11 +183,12 @@
         """Remove a target and close the idle connections to it."""
         self._state.targets.remove(name)
         self._connections.close_idle(name)
-        for gone in self._state.target_runs.remove(name):
+        for gone in self._state.targets.runs.remove(name):
             self._forget_run(gone)
 
     def _forget_run(self, name: str) -> None:
         self._state.target_limits.forget(name)
+        self._state.targets.notices.forget(name)
 
 
 class EvacuationSubscriber:
--- a/currantmast/direct/requests.py
+++ b/currantmast/direct/requests.py
@@ -75,6 +75,8 @@
     rate_limit : float or None
         Requests per second that the target takes from the whole fleet; None when it
         names no limit.
+    leaving : bool
+        Whether the target leaves, and wants no more requests.
     """
 
     status: int
@@ -82,6 +84,7 @@
     load: Load | None
     shed: ShedReason | None
     rate_limit: float | None = None
+    leaving: bool = False
 
     def is_deliverable(self) -> bool:
         """Return whether the answer may be passed to the caller.
--- a/currantmast/direct/steering.py
+++ b/currantmast/direct/steering.py
@@ -236,6 +236,8 @@
             self._state.target_limits.note_answer(
                 target.record.id, target_answer.rate_limit
             )
+        if target_answer.leaving:
+            self._state.targets.notices.note_leaving(target.record.id)
         match target_answer.shed:
             case ShedReason.full:
                 target.note_shed()
--- a/currantmast/direct/targets.py
+++ b/currantmast/direct/targets.py
@@ -7,7 +7,9 @@
 
 from currantmast.clocks import Clock
 from currantmast.direct.coldstart import ColdStart
+from currantmast.direct.listedruns import ListedRuns
 from currantmast.direct.model import TargetRecord, TargetState
+from currantmast.direct.notices import TargetNotices
 from currantmast.runtime.logs import log_event
 
 # Objects that a target is assumed to cache.
@@ -281,13 +283,15 @@
         Source of time.
     """
 
-    __slots__ = ('_by_service', '_clock', '_targets', 'evacuated')
+    __slots__ = ('_by_service', '_clock', '_targets', 'evacuated', 'notices', 'runs')
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._targets: dict[str, Target] = {}
         self._by_service: dict[str, dict[str, Target]] = {}
         self.evacuated: frozenset[str] = frozenset()
+        self.notices = TargetNotices()
+        self.runs = ListedRuns(clock)
 
     def __len__(self) -> int:
         """Return the number of targets."""
@@ -358,7 +362,8 @@
     def _is_usable(self, target: Target) -> bool:
         ready = target.record.state is TargetState.ready
         evacuated = target.record.location.failure_domain in self.evacuated
-        return ready and not evacuated and not target.ejection
+        allowed = self.notices.allow(target.record.id)
+        return ready and allowed and not evacuated and not target.ejection
 
     def _put_in(self, target: Target) -> None:
         record = target.record
--- a/currantmast/platform/wire.py
+++ b/currantmast/platform/wire.py
@@ -1,6 +1,7 @@
 """Encoding of requests and answers on the platform: headers, cookies and JSON bodies."""
 
 import math
+from collections.abc import Iterable
 from http.cookies import CookieError, SimpleCookie
 from urllib.parse import parse_qs
 
@@ -31,9 +32,10 @@
 STAMP = 'x-currantmast-server-stamp'
 NOT_EXECUTED = 'x-currantmast-not-executed'
 SERVER_LOAD = 'x-currantmast-server-load'
-# Requests a second that a target takes from all instances together. The page that
-# introduced it gives the name without the prefix that the other headers bear.
+# Headers that the pages which introduced them name without the prefix of the others:
+# requests a second that a target takes from all instances together, and "1" if it leaves.
 SERVER_LIMITS = ('server-limit', 'x-currantmast-server-limit')
+SERVER_LEAVING = ('server-leaving', 'x-currantmast-server-leaving')
 INSTANCE_ID = 'x-currantmast-instance-id'
 COLD_MS = 'x-currantmast-cold-ms'
 
@@ -94,11 +96,14 @@
     """Return what a target's status and headers say about the request and its load."""
     status = answer.status
     not_run = answer.get(NOT_EXECUTED) is not None or status == MISDIRECTED
+    # Another target answers that a request is misdirected, so it says nothing of this one.
+    leaving = _find_any(answer, SERVER_LEAVING) == '1' and status != MISDIRECTED
     return TargetAnswer(
         status=status,
         stamped=answer.get(STAMP) is not None,
         load=_find_load(answer.get(SERVER_LOAD)),
-        rate_limit=_find_rate_limit(answer),
+        rate_limit=_parse_rate(_find_any(answer, SERVER_LIMITS)),
+        leaving=leaving,
         shed=_find_shed(status) if not_run else None,
     )
 
@@ -159,12 +164,10 @@
     return int(text) / 1000 if text and text.isdigit() else None
 
 
-def _find_rate_limit(answer: Answer) -> float | None:
-    for name in SERVER_LIMITS:
-        text = answer.get(name)
-        if text is not None:
-            return _parse_rate(text)
-    return None
+def _find_any(answer: Answer, names: Iterable[str]) -> str:
+    """Return the value of the first of these headers that is there, or an empty text."""
+    values = (answer.get(name) for name in names)
+    return next((value.strip() for value in values if value is not None), '')
 
 
 def _parse_rate(text: str) -> float | None:
--- a/tests/limitedfleet.py
+++ b/tests/limitedfleet.py
@@ -117,7 +117,7 @@
 
     def list_target(self, record):
         self.state.targets.put(record)
-        self.state.target_runs.put(record.id, record.started_at_ms)
+        self.state.targets.runs.put(record.id, record.started_at_ms)
 
     def beat(self):
         self.heartbeats._update_from_members()
