Leave a target alone for as long as its 503 asks

An instance kept sending as far as the target's load seemed to allow; it only held the load down for 0.4 s.

If every other target lacks capacity, the caller is told at once to come back when the first pause ends, as before within 1 s. Dates and numbers that are negative or endless are no pause.

--- a/currantmast/direct/attempts.py
+++ b/currantmast/direct/attempts.py
@@ -1,5 +1,7 @@
 """Attempts of one request: where it may be sent, how often, and with what result."""
 
+import math
+
 import msgspec
 
 from currantmast.clocks import Clock
@@ -147,9 +149,9 @@
             limited=limited,
         )
         choice = self._state.placement.choose(requirements, usable)
-        if isinstance(choice, NoCapacity) and limited.exhausted:
-            wait_s = min(map(limits.get_wait, limited.exhausted))
-            available_in_s = min(choice.available_in_s, wait_s)
+        if isinstance(choice, NoCapacity):
+            waits = map(limits.get_wait, limited.exhausted)
+            available_in_s = min(choice.available_in_s, *waits, self._get_pause())
             return msgspec.structs.replace(choice, available_in_s=available_in_s)
         return choice
 
@@ -222,6 +224,15 @@
             return False
         return self._state.retries.take(self._admission.service, self._state.bounds)
 
+    def _get_pause(self) -> float:
+        """Return in how many seconds the first target that wants a pause is back."""
+        targets = self._state.targets
+        pauses = (
+            targets.notices.get_pause(target.record.id)
+            for target in targets.list_service(self._admission.service)
+        )
+        return min((pause_s for pause_s in pauses if pause_s), default=math.inf)
+
     def _allows(self, target: Target, service: Service | None) -> bool:
         allowed_regions = self._admission.allowed_regions
         if allowed_regions and target.record.location.region not in allowed_regions:
--- a/currantmast/direct/probes.py
+++ b/currantmast/direct/probes.py
@@ -44,11 +44,18 @@
     def run(self) -> None:
         """Probe forever."""
         while True:
-            for target in self._state.targets.list_all():
-                if target.ejection.begin_probe():
-                    gevent.spawn(self.probe, target)
+            self.probe_due()
             self._clock.sleep(PROBE_PERIOD_S)
 
+    def probe_due(self) -> None:
+        """Start the probes that are due."""
+        targets = self._state.targets
+        for target in targets.list_all():
+            # A probe is a request too, which a target in a pause doesn't want.
+            is_paused = targets.notices.get_pause(target.record.id) > 0
+            if not is_paused and target.ejection.begin_probe():
+                gevent.spawn(self.probe, target)
+
     def probe(self, target: Target) -> None:
         """Query one target and record the result."""
         healthy = False
--- a/currantmast/direct/requests.py
+++ b/currantmast/direct/requests.py
@@ -77,6 +77,8 @@
         names no limit.
     leaving : bool
         Whether the target leaves, and wants no more requests.
+    pause_s : float
+        Seconds for which the target wants no request from this instance.
     """
 
     status: int
@@ -85,6 +87,7 @@
     shed: ShedReason | None
     rate_limit: float | None = None
     leaving: bool = False
+    pause_s: float = 0
 
     def is_deliverable(self) -> bool:
         """Return whether the answer may be passed to the caller.
--- a/currantmast/direct/steering.py
+++ b/currantmast/direct/steering.py
@@ -24,6 +24,7 @@
     AttemptMetadata,
     CallerRequest,
     ShedReason,
+    TargetAnswer,
     WireFormat,
 )
 from currantmast.direct.targets import Target
@@ -236,8 +237,7 @@
             self._state.target_limits.note_answer(
                 target.record.id, target_answer.rate_limit
             )
-        if target_answer.leaving:
-            self._state.targets.notices.note_leaving(target.record.id)
+        self._note_notices(target, target_answer)
         match target_answer.shed:
             case ShedReason.full:
                 target.note_shed()
@@ -255,6 +255,13 @@
             return OutcomeUnknown(Reason.answer_incomplete)
         return Answered(answer, target_answer)
 
+    def _note_notices(self, target: Target, target_answer: TargetAnswer) -> None:
+        notices = self._state.targets.notices
+        if target_answer.leaving:
+            notices.note_leaving(target.record.id)
+        if target_answer.pause_s:
+            notices.note_pause(target.record.id, target_answer.pause_s)
+
     def _record_success(
         self, admission: Admission, choice: Choice, elapsed_s: float
     ) -> None:
--- a/currantmast/direct/targets.py
+++ b/currantmast/direct/targets.py
@@ -290,7 +290,7 @@
         self._targets: dict[str, Target] = {}
         self._by_service: dict[str, dict[str, Target]] = {}
         self.evacuated: frozenset[str] = frozenset()
-        self.notices = TargetNotices()
+        self.notices = TargetNotices(clock)
         self.runs = ListedRuns(clock)
 
     def __len__(self) -> int:
@@ -326,12 +326,14 @@
         if listed is not None:
             self._take_out(listed)
 
+    def list_service(self, service: str) -> list[Target]:
+        """Return the targets of `service`."""
+        return list(self._by_service.get(service, {}).values())
+
     def list_usable(self, service: str) -> list[Target]:
         """Return the targets of `service` that may get requests."""
         return [
-            target
-            for target in self._by_service.get(service, {}).values()
-            if self._is_usable(target)
+            target for target in self.list_service(service) if self._is_usable(target)
         ]
 
     def list_all_usable(self) -> list[Target]:
--- a/currantmast/platform/wire.py
+++ b/currantmast/platform/wire.py
@@ -2,6 +2,7 @@
 
 import math
 from collections.abc import Iterable
+from http import HTTPStatus
 from http.cookies import CookieError, SimpleCookie
 from urllib.parse import parse_qs
 
@@ -35,6 +36,7 @@
 # Headers that the pages which introduced them name without the prefix of the others:
 # requests a second that a target takes from all instances together, and "1" if it leaves.
 SERVER_LIMITS = ('server-limit', 'x-currantmast-server-limit')
+RETRY_AFTER = ('retry-after',)
 SERVER_LEAVING = ('server-leaving', 'x-currantmast-server-leaving')
 INSTANCE_ID = 'x-currantmast-instance-id'
 COLD_MS = 'x-currantmast-cold-ms'
@@ -102,8 +104,9 @@
         status=status,
         stamped=answer.get(STAMP) is not None,
         load=_find_load(answer.get(SERVER_LOAD)),
-        rate_limit=_parse_rate(_find_any(answer, SERVER_LIMITS)),
+        rate_limit=_parse_number(_find_any(answer, SERVER_LIMITS)),
         leaving=leaving,
+        pause_s=_find_pause(answer),
         shed=_find_shed(status) if not_run else None,
     )
 
@@ -170,13 +173,20 @@
     return next((value.strip() for value in values if value is not None), '')
 
 
-def _parse_rate(text: str) -> float | None:
-    """Return a rate in requests per second, or None if it is no number above or at 0."""
+def _find_pause(answer: Answer) -> float:
+    """Return for how many seconds a target wants nothing; dates are not accepted."""
+    if answer.status != HTTPStatus.SERVICE_UNAVAILABLE:
+        return 0
+    return _parse_number(_find_any(answer, RETRY_AFTER)) or 0
+
+
+def _parse_number(text: str) -> float | None:
+    """Return a finite number from 0 on, or None if the text is none."""
     try:
-        rate = float(text)
+        number = float(text)
     except ValueError:
         return None
-    return rate if 0 <= rate < math.inf else None
+    return number if 0 <= number < math.inf else None
 
 
 def _find_load(text: str | None) -> Load | None:
--- a/tests/test_direct_notices.py
+++ b/tests/test_direct_notices.py
@@ -1,5 +1,6 @@
 """What targets ask of an instance in their answers."""
 
+import gevent
 import msgspec
 import pytest
 from test_direct_steering import (
@@ -14,6 +15,7 @@
 from currantmast.clocks import ManualClock
 from currantmast.direct.exchanges import TargetConnections
 from currantmast.direct.instance_state import TargetSubscriber
+from currantmast.direct.probes import Prober
 from currantmast.platform import wire
 
 LEAVING_HEADERS = ('Server-Leaving', 'X-Currantmast-Server-Leaving')
@@ -78,3 +80,68 @@
 def test_misdirected_answer_says_nothing_of_the_target():
     """Guards against a target that is left alone as another one at its address leaves."""
     assert not wire.decode_answer(make_answer(421, ('Server-Leaving', '1'))).leaving
+
+
+def make_pause(seconds):
+    return make_answer(503, NOT_RUN_HEADER, ('Retry-After', str(seconds)))
+
+
+def test_target_that_wants_a_pause_gets_nothing_until_its_end():
+    """Guards against requests to a target that said when to come back."""
+    harness = SteeringHarness(make_pause(2.5), OK, targets=[make_target('t1')])
+    harness.ask()
+    paused_at = harness.clock.now()
+    while harness.clock.now() < paused_at + 2.4:
+        assert harness.ask().status == 503
+        harness.clock.advance(0.1)
+    assert list_asked(harness) == ['t1']
+    harness.clock.advance(0.2)
+    assert harness.ask().status == 200
+
+
+def test_pause_outlives_a_missing_entry(subscriber):
+    harness = SteeringHarness(make_pause(2.5), OK, targets=[make_target('t1')])
+    changes = subscriber(harness)
+    changes.put('t1', make_target('t1'))
+    harness.ask()
+    changes.remove('t1')
+    changes.put('t1', make_target('t1'))
+    harness.clock.advance(1)
+    assert harness.ask().status == 503
+    assert list_asked(harness) == ['t1']
+
+
+def test_caller_is_told_when_the_first_target_wants_requests_again():
+    harness = SteeringHarness(make_pause(0.7), targets=[make_target('t1')])
+    harness.ask()
+    harness.clock.advance(0.2)
+    answer = harness.ask()
+    assert answer.status == 503
+    assert float(dict(answer.headers)['Retry-After']) == pytest.approx(0.5)
+
+
+def test_target_that_wants_a_pause_is_not_probed():
+    harness = SteeringHarness(make_pause(2.5), targets=[make_target('t1')])
+    harness.ask()
+    harness.state.targets.get('t1').ejection.begin()
+    harness.clock.advance(1)
+    prober = Prober(harness.state, wire, harness.connections, harness.clock)
+    prober.probe_due()
+    gevent.sleep(0)
+    assert list_asked(harness) == ['t1']
+
+
+@pytest.mark.parametrize(
+    ('status', 'text', 'pause_s'),
+    [
+        (503, '1.5', 1.5),
+        (503, 'Sat, 05 Dec 2026 03:00:00 GMT', 0),
+        (503, '-1', 0),
+        (503, 'inf', 0),
+        (500, '1.5', 0),
+        (200, '1.5', 0),
+    ],
+)
+def test_pause_is_read_from_a_refusal(status, text, pause_s):
+    answer = make_answer(status, ('Retry-After', text))
+    assert wire.decode_answer(answer).pause_s == pause_s
