Forget the removed targets that no copy of the store can bring back

The newest statement of each target was kept for good, so an instance's memory grew with each target that ever left.

--- a/currantmast/direct/entrytables.py
+++ b/currantmast/direct/entrytables.py
@@ -62,7 +62,7 @@
         self._missing: set[str] = set()
         # Entries of a restored store that are older than what is known.
         self._outdated: dict[str, Entry] = {}
-        self._sequences = TargetSequences()
+        self._sequences = TargetSequences(clock)
 
     def __repr__(self) -> str:
         """Return a short description for debugging."""
