Put the names of headers beside their comment, and drop a stray line

Found when reading the diff as a newcomer: the comment on headers without a prefix stood above Retry-After, which has none anyway, and a docstring named a parameter that is_valid hasn't.

--- a/currantmast/direct/freshness.py
+++ b/currantmast/direct/freshness.py
@@ -136,8 +136,6 @@
         ----------
         revoke_s : float
             Time in seconds within which a withdrawn key must stop working.
-        local_version : int
-            Version of the configuration in force here.
         """
         return self.age() < revoke_s - LEASE_MARGIN_S
 
--- a/currantmast/platform/wire.py
+++ b/currantmast/platform/wire.py
@@ -33,10 +33,10 @@
 STAMP = 'x-currantmast-server-stamp'
 NOT_EXECUTED = 'x-currantmast-not-executed'
 SERVER_LOAD = 'x-currantmast-server-load'
+RETRY_AFTER = ('retry-after',)
 # Headers that the pages which introduced them name without the prefix of the others:
 # requests a second that a target takes from all instances together, and "1" if it leaves.
 SERVER_LIMITS = ('server-limit', 'x-currantmast-server-limit')
-RETRY_AFTER = ('retry-after',)
 SERVER_LEAVING = ('server-leaving', 'x-currantmast-server-leaving')
 INSTANCE_ID = 'x-currantmast-instance-id'
 COLD_MS = 'x-currantmast-cold-ms'
