Count the slots of targets in a pause as capacity

A target that wants a pause left the capacity of its region for that time, like one that was ejected. When many targets of a region shed load with Retry-After, each instance would have taken that for a sudden loss of the region's slots, and moved its share to other regions at once (SHIFT), for a pause of a second. Paused targets get no requests, as before, but their slots count. Found when reading the change; the test failed before and passes.

--- a/currantmast/direct/heartbeats.py
+++ b/currantmast/direct/heartbeats.py
@@ -236,7 +236,7 @@
         members = self._state.members
         local = [peer.id for peer in members.list_peers() if members.is_local(peer)]
         capacities = measure_capacity(
-            self._state.targets.list_all_usable(),
+            self._state.targets.list_staying(),
             members.list_all(),
             members.own.location.region,
         )
--- a/currantmast/direct/notices.py
+++ b/currantmast/direct/notices.py
@@ -47,9 +47,9 @@
         self._leaving.discard(target_id)
         self._paused_until.pop(target_id, None)
 
-    def allow(self, target_id: str) -> bool:
-        """Return whether a target may get requests."""
-        return target_id not in self._leaving and not self.get_pause(target_id)
+    def is_leaving(self, target_id: str) -> bool:
+        """Return whether a target said that it leaves."""
+        return target_id in self._leaving
 
     def get_pause(self, target_id: str) -> float:
         """Return for how many seconds a target still wants nothing; 0 if it does."""
--- a/currantmast/direct/targets.py
+++ b/currantmast/direct/targets.py
@@ -336,9 +336,12 @@
             target for target in self.list_service(service) if self._is_usable(target)
         ]
 
-    def list_all_usable(self) -> list[Target]:
-        """Return the targets of all services that may get requests."""
-        return [target for target in self._targets.values() if self._is_usable(target)]
+    def list_staying(self) -> list[Target]:
+        """Return the targets of all services whose slots count as capacity.
+
+        These are the usable ones, and those that want a pause, which is soon over.
+        """
+        return [target for target in self._targets.values() if self._is_staying(target)]
 
     def evacuate(self, domains: frozenset[str], cold_s: float) -> None:
         """Send no requests to `domains`; targets in restored domains become cold."""
@@ -362,10 +365,14 @@
         }
 
     def _is_usable(self, target: Target) -> bool:
+        paused = self.notices.get_pause(target.record.id) > 0
+        return self._is_staying(target) and not paused
+
+    def _is_staying(self, target: Target) -> bool:
         ready = target.record.state is TargetState.ready
         evacuated = target.record.location.failure_domain in self.evacuated
-        allowed = self.notices.allow(target.record.id)
-        return ready and allowed and not evacuated and not target.ejection
+        leaving = self.notices.is_leaving(target.record.id)
+        return ready and not leaving and not evacuated and not target.ejection
 
     def _put_in(self, target: Target) -> None:
         record = target.record
--- a/tests/test_direct_notices.py
+++ b/tests/test_direct_notices.py
@@ -16,6 +16,7 @@
 from currantmast.direct.exchanges import TargetConnections
 from currantmast.direct.instance_state import TargetSubscriber
 from currantmast.direct.probes import Prober
+from currantmast.direct.spillover import measure_capacity
 from currantmast.platform import wire
 
 LEAVING_HEADERS = ('Server-Leaving', 'X-Currantmast-Server-Leaving')
@@ -99,6 +100,16 @@
     assert harness.ask().status == 200
 
 
+def test_pauses_of_a_region_move_no_traffic_to_others():
+    """Guards against a share of other regions that jumps when many targets shed."""
+    harness = SteeringHarness(make_pause(2.5), targets=[make_target('t1')])
+    harness.ask()
+    assert harness.state.targets.list_usable('desk') == []
+    staying = harness.state.targets.list_staying()
+    capacity = measure_capacity(staying, harness.state.members.list_all(), 'fife')
+    assert capacity['desk'].local_slots == 3
+
+
 def test_pause_outlives_a_missing_entry(subscriber):
     harness = SteeringHarness(make_pause(2.5), OK, targets=[make_target('t1')])
     changes = subscriber(harness)
--- a/tests/test_direct_restored.py
+++ b/tests/test_direct_restored.py
@@ -88,7 +88,7 @@
 def list_targets(fleet):
     """Return which targets the instances may use, once for all that agree."""
     return {
-        frozenset(found.record.id for found in instance.state.targets.list_all_usable())
+        frozenset(found.record.id for found in instance.state.targets.list_staying())
         for instance in fleet.instances.values()
     }
 
