Name the outcome of an attempt where its results are defined

The functions that name an attempt's outcome and the load that its target reported stand beside the types of results now. No behavior changes; the tests of steering, logs and notices pass as before.

--- a/currantmast/direct/attempts.py
+++ b/currantmast/direct/attempts.py
@@ -251,3 +251,23 @@
         return self._state.cold_start_limit.get_rate(
             target.record, service, self._state.bounds
         )
+
+
+def get_reported_load(result: AttemptResult) -> int | None:
+    """Return the number of requests that the target reported with its answer."""
+    if isinstance(result, Answered) and result.target_answer.load is not None:
+        return result.target_answer.load.running + result.target_answer.load.waiting
+    return None
+
+
+def get_outcome(result: AttemptResult) -> tuple[str, str]:
+    """Return the outcome and its reason, as logs and metrics name them."""
+    match result:
+        case Answered(_, target_answer):
+            return 'answered', str(target_answer.status)
+        case TryLater(refusal, _):
+            return 'refused', refusal.reason.value
+        case NotRun(reason):
+            return 'refused', reason.value
+        case OutcomeUnknown(reason):
+            return 'unknown', reason.value
--- a/currantmast/direct/steering.py
+++ b/currantmast/direct/steering.py
@@ -12,6 +12,8 @@
     AttemptResult,
     Attempts,
     TryLater,
+    get_outcome,
+    get_reported_load,
 )
 from currantmast.direct.choices import Choice, NoCapacity
 from currantmast.direct.exchanges import TargetConnections
@@ -333,7 +335,7 @@
     def _log_result(
         self, admission: Admission, attempts: Attempts, result: AttemptResult
     ) -> None:
-        outcome, reason = _get_outcome(result)
+        outcome, reason = get_outcome(result)
         elapsed_s = self._clock.now() - admission.started_at
         self._meter.count_outcome(outcome, reason)
         self._meter.observe_latency(outcome, elapsed_s)
@@ -361,7 +363,7 @@
             chance=last_choice.chance if last_choice else None,
             crossing=last_choice.spillover_reason.value if last_choice else None,
             load=last_choice.load if last_choice else None,
-            reported=_get_reported_load(result),
+            reported=get_reported_load(result),
             things=self._state.placement.object_counts.count(admission.service),
             homes=','.join(sorted(admission.allowed_regions)),
             candidates=attempts.candidates,
@@ -382,22 +384,3 @@
         case AnswerIncomplete():
             return Reason.answer_incomplete
     return Reason.connection_lost
-
-
-def _get_reported_load(result: AttemptResult) -> int | None:
-    """Return the number of requests that the target reported with its answer."""
-    if isinstance(result, Answered) and result.target_answer.load is not None:
-        return result.target_answer.load.running + result.target_answer.load.waiting
-    return None
-
-
-def _get_outcome(result: AttemptResult) -> tuple[str, str]:
-    match result:
-        case Answered(_, target_answer):
-            return 'answered', str(target_answer.status)
-        case TryLater(refusal, _):
-            return 'refused', refusal.reason.value
-        case NotRun(reason):
-            return 'refused', reason.value
-        case OutcomeUnknown(reason):
-            return 'unknown', reason.value
