Show that reserves act on old state while two machines are frozen

review/5 runs the seven machines of one zone with the command of the deploy file. Two of the three that read the store stand still for 4 s; a server drains and the desired state changes just after that.

--- /dev/null
+++ b/review/5/case.py
@@ -0,0 +1,111 @@
+"""Two machines freeze; the others in their zone follow the desired state and servers through them."""
+
+import asyncio
+import signal
+import sys
+from collections import Counter
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parents[1] / 'common'))
+from standins import Deployment, Failed, call, make_config, make_headers, run_case  # noqa: E402
+
+# Bounds of the site glenbrae-mast-grown.
+BOUNDS = {'touch_s': 4, 'ack_s': 5, 'catch_up_s': 6, 'drain_s': 3, 'config_apply_s': 3, 'outer_s': 6,
+          'budget_extra': 166, 'cold_extra': 8}
+DRAIN_S, APPLY_S = BOUNDS['drain_s'], BOUNDS['config_apply_s']
+ZONE = 'fife-kirkcaldy'
+# That site has seven machines in each zone.
+SIZE = 7
+FIRST = (('/look/', 'idempotent', 'lookups', 1.5, 2), ('/order/', 'non_idempotent', 'orders', 1.5, 2))
+# The second desired state moves /look/ to another service.
+SECOND = (('/look/', 'idempotent', 'lookups-new', 1.5, 2), FIRST[1])
+TIME_LIMIT_MS = 4000
+RATE = 120
+FREEZE_AT_S, FREEZE_S, EXIT_AFTER_S, END_AT_S = 3.0, 4.0, 3.5, 10.0
+
+
+async def check(record, trouble):
+    async with Deployment(record, size=SIZE, zones=(ZONE,), bounds=BOUNDS) as fleet:
+        await fleet.add_servers('lookups', 1)
+        await fleet.add_servers('lookups-new', 1)
+        await fleet.add_servers('orders', 1, work_s=0.15)
+        fleet.store.put('config', 'main', make_config(1, FIRST + (('/new/', 'idempotent', 'lookups-new', 1.5, 2),)))
+        await fleet.start_instances()
+        await asyncio.sleep(2)
+        frozen, running = fleet.instances[:2], fleet.instances[2:]
+        leaving = next(server for server in fleet.servers if server.service == 'orders')
+        sent_at, sent_to, old, late, orders = {}, {}, Counter(), Counter(), Counter()
+        changed_at = drained_at = float('inf')
+
+        def note_arrival(server, headers, path):
+            known = headers.get('x-currantmast-request-id')
+            record.note('arrives', id=known, at=server.id, through=sent_to[known])
+            if server is leaving and sent_at[known] > drained_at + DRAIN_S:
+                late[sent_to[known]] += 1
+
+        def note_run(server, headers, path):
+            known = headers.get('x-currantmast-request-id')
+            if server.service == 'lookups' and sent_at[known] > changed_at + APPLY_S:
+                record.note('runs-at-old-service', id=known, at=server.id, through=sent_to[known])
+                old[sent_to[known]] += 1
+
+        for server in fleet.servers:
+            server.on_arrival, server.on_run = note_arrival, note_run
+
+        async def send(number, instance):
+            known = f'q{number}'
+            order = number // len(running) % 2
+            sent_at[known], sent_to[known] = record.now(), instance.node
+            method, path = ('POST', f'/order/{number}') if order else ('GET', f'/look/{number}')
+            record.note('sent', id=known, path=path, to=instance.node)
+            try:
+                status, _, _ = await call(instance.front, method, path, make_headers(known, TIME_LIMIT_MS),
+                                          b'order' if order else b'', TIME_LIMIT_MS / 1000)
+            except Failed as error:
+                status = str(error)
+            record.note('answered', id=known, status=status)
+            if order:
+                orders[status] += 1
+
+        async def operate():
+            nonlocal changed_at, drained_at
+            await asyncio.sleep(FREEZE_AT_S)
+            if trouble:
+                for instance in frozen:
+                    instance.signal(signal.SIGSTOP)
+                    record.note('freeze', node=instance.node)
+            await asyncio.sleep(0.1)
+            fleet.store.put('config', 'main', make_config(2, SECOND))
+            changed_at = record.now()
+            leaving.report('draining')
+            drained_at = record.now()
+            record.note('changed')
+            await asyncio.sleep(EXIT_AFTER_S)
+            fleet.store.remove('servers', leaving.id)
+            leaving.end()
+            await asyncio.sleep(FREEZE_S - EXIT_AFTER_S - 0.1)
+            if trouble:
+                for instance in frozen:
+                    instance.signal(signal.SIGCONT)
+                    record.note('wake', node=instance.node)
+
+        task = asyncio.create_task(operate())
+        start, number, tasks = record.now(), 0, []
+        while record.now() - start < END_AT_S:
+            # Clients use the machines that run.
+            tasks.append(asyncio.create_task(send(number, running[number % len(running)])))
+            number += 1
+            await asyncio.sleep(1 / RATE)
+        await asyncio.gather(task, *tasks)
+        record.note('result', late=dict(late), old=dict(old), orders=dict(orders))
+        print(f'requests at the leaving server that were sent later than drain_s, by machine: {dict(late)}; requests '
+              f'run by the old service that were sent later than config_apply_s: {dict(old)}; orders: {dict(orders)}')
+        findings = []
+        if late:
+            findings.append(f'DRAIN: {late.total()} requests reached {leaving.id} later than {DRAIN_S} s')
+        if old:
+            findings.append(f'CONFIG: {old.total()} requests ran at the old service later than {APPLY_S} s')
+        return findings
+
+
+run_case(check, Path(__file__).parent)
