End the processes of a case also when the case itself is ended early

A case that got SIGTERM left some of its instances running. They are killed at the exit of the case now.

--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import atexit
 import json
 import os
 import random
@@ -398,10 +399,19 @@
         return self._reply(200, headers, b'ran ' + path.encode(), stamp)
 
 
+def kill_all():
+    """Kill the processes that still run."""
+    for instance in Instance.started:
+        instance.signal(signal.SIGKILL)
+
+
 class Instance:
     """One process of the system, started with the command of the deploy file."""
 
+    started = []
+
     def __init__(self, number, store_address, folder, zone, bounds):
+        self.started.append(self)
         self.zone = zone
         self.node = f'edge-{self.zone}-{number}'
         front, ready, lookup, peer, metrics = pick_ports(5)
@@ -476,7 +486,8 @@
     def signal(self, number):
         """Send a signal to this process only."""
         if self.process is not None and self.process.returncode is None:
-            self.process.send_signal(number)
+            # A process that has ended and wasn't waited for keeps its id until then.
+            os.kill(self.process.pid, number)
 
     async def kill(self):
         """Kill the process and wait for its end."""
@@ -645,6 +656,9 @@
     record = Record(Path(folder) / 'record.txt')
     trouble = os.environ.get('TROUBLE', '1') != '0'
     record.note('case', trouble=trouble)
+    # Ends the processes of the case also when it is ended before its time.
+    atexit.register(kill_all)
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         findings = asyncio.run(check(record, trouble))
     except Exception as error:  # The case could not run.
