--- a/currantmast/direct/following.py
+++ b/currantmast/direct/following.py
@@ -155,8 +155,10 @@
         self._position = update.position
         self._last_position = max(self._last_position, update.position)
         self._table.apply(update, is_full_list=is_full_list)
+        read_at = sent_at - update.age_s
+        self._health.read_times.note(self.topic, read_at)
         if self._on_read is not None:
-            self._on_read(sent_at - update.age_s)
+            self._on_read(read_at)
         return WATCH_TIMINGS[self.topic].batch_pause_s if update.entries else 0
 
     def _read(self) -> StoreUpdate:
--- a/currantmast/direct/queries.py
+++ b/currantmast/direct/queries.py
@@ -5,6 +5,7 @@
 from currantmast.direct.members import choose_lookup_instances
 from currantmast.direct.meters import Meter
 from currantmast.direct.requests import WireFormat
+from currantmast.direct.updates import Topic
 
 # Seconds for which callers may cache a look-up answer. Short, since a new look-up is how
 # they learn that an instance has gone.
@@ -59,6 +60,10 @@
             'configuration_version': state.configuration.version,
             'configuration_version_of_peers': state.freshness.newest_version,
             'configuration_age_seconds': state.freshness.age(),
+            'targets_age_seconds': state.store_health.read_times.age(Topic.targets),
+            'evacuations_age_seconds': state.store_health.read_times.age(
+                Topic.evacuations
+            ),
             'targets': len(state.targets),
             'targets_limited': len(state.target_limits),
             'members': len(state.members),
--- a/currantmast/direct/reserves.py
+++ b/currantmast/direct/reserves.py
@@ -29,6 +29,9 @@
 
 START_POLL_INTERVAL_S = 0.05
 
+# Stands for the store in log lines that tell where a topic is read.
+STORE = 'store'
+
 
 class RelayedSource:
     """The store as an instance reads it: itself, or through a relay if it is a reserve.
@@ -50,6 +53,7 @@
         '_failed_until',
         '_members',
         '_recorded',
+        '_sources',
     )
 
     def __init__(
@@ -61,6 +65,8 @@
         self._connections = TargetConnections(clock)
         self._failed_until: dict[str, float] = {}
         self._called_store_at: dict[Topic, float] = {}
+        # Where each topic was read last: the id of a relay, or `STORE`.
+        self._sources: dict[Topic, str] = {}
 
     def __repr__(self) -> str:
         """Return a short description for debugging."""
@@ -69,6 +75,7 @@
     def list_all(self, topic: Topic) -> StoreUpdate:
         """Return every entry of `topic`."""
         if self._is_entry():
+            self._note_source(topic, STORE)
             return self._recorded.list_all(topic)
         relayed = self._read_relayed(topic, None, 0)
         return relayed or self._recorded.store.list_all(topic)
@@ -76,6 +83,7 @@
     def watch(self, topic: Topic, position: Position, wait_s: float) -> StoreUpdate:
         """Return the changes after `position`; wait up to `wait_s` seconds for one."""
         if self._is_entry():
+            self._note_source(topic, STORE)
             return self._recorded.watch(topic, position, wait_s)
         relayed = self._read_relayed(topic, position, min(MAX_WAIT_S, wait_s))
         return relayed or self._recorded.store.watch(topic, position, wait_s)
@@ -105,20 +113,12 @@
             for record in list_relays(self._members)
             if self._failed_until.get(record.id, now) <= now
         ]
+        path = _make_path(topic, position, wait_s)
         refusals = 0
         for relay in relays[:MAX_RELAYS]:
             try:
-                return self._call(
-                    relay, _make_path(topic, position, wait_s), topic, wait_s
-                )
-            except TransportError as error:
-                log_event(
-                    'relay_lost',
-                    level='WARNING',
-                    relay=relay.id,
-                    topic=topic.value,
-                    error=error,
-                )
+                return self._call(relay, path, topic, wait_s)
+            except TransportError:
                 self._failed_until[relay.id] = self._clock.now() + RELAY_BACKOFF_S
                 # Connections to the other relays may have fallen silent as well.
                 self._connections.close_all_idle()
@@ -127,10 +127,35 @@
         if refusals and now - self._called_store_at.get(topic, 0) < DIRECT_INTERVAL_S:
             raise StoreUnavailable('the store does not answer the relays')
         self._called_store_at[topic] = now
+        self._note_source(topic, STORE)
         return None
 
+    def _note_source(self, topic: Topic, source: str) -> None:
+        if self._sources.get(topic) != source:
+            self._sources[topic] = source
+            log_event('source_changed', topic=topic.value, source=source)
+
     def _call(
         self, relay: InstanceRecord, path: str, topic: Topic, wait_s: float
+    ) -> StoreUpdate:
+        sent_at = self._clock.now()
+        try:
+            update = self._exchange(relay, path, topic, wait_s)
+        except (TransportError, StoreUnavailable) as error:
+            log_event(
+                'relay_lost' if isinstance(error, TransportError) else 'relay_refused',
+                level='WARNING',
+                relay=relay.id,
+                topic=topic.value,
+                error=error,
+                waited_s=self._clock.now() - sent_at,
+            )
+            raise
+        self._note_source(topic, relay.id)
+        return update
+
+    def _exchange(
+        self, relay: InstanceRecord, path: str, topic: Topic, wait_s: float
     ) -> StoreUpdate:
         request = TargetRequest('GET', path, (('Host', relay.id),))
         answer = self._connections.exchange(
--- a/currantmast/direct/steering.py
+++ b/currantmast/direct/steering.py
@@ -30,6 +30,7 @@
     WireFormat,
 )
 from currantmast.direct.targets import Target
+from currantmast.direct.updates import Topic
 from currantmast.errors import (
     AnswerIncomplete,
     AnswerTooLarge,
@@ -374,6 +375,7 @@
             limited=attempts.limited,
             share=self._state.placement.spillover.get_share(admission.service),
             version=self._state.configuration.version,
+            targets_age_s=self._state.store_health.read_times.age(Topic.targets),
         )
 
 
--- a/currantmast/direct/storehealth.py
+++ b/currantmast/direct/storehealth.py
@@ -12,6 +12,7 @@
 
 from currantmast.clocks import Clock
 from currantmast.direct.model import Bounds
+from currantmast.direct.readtimes import ReadTimes
 from currantmast.runtime.logs import log_event
 
 # Seconds after the store's recovery within which targets whose entries expired during
@@ -107,6 +108,7 @@
         '_restored_at',
         '_returned_after',
         'last_outage',
+        'read_times',
         'restore_count',
     )
 
@@ -115,6 +117,7 @@
         self._available.set()
         self._clock = clock
         self._bounds = Bounds()
+        self.read_times = ReadTimes(clock)
         self._answered_at = -math.inf
         self._answering_since = math.inf
         self._failed_sent_at = -math.inf
--- a/tests/test_direct_logs.py
+++ b/tests/test_direct_logs.py
@@ -1,9 +1,11 @@
 """Log lines for every result of a request and every change of an instance's state."""
 
 import io
+import math
 import re
 
 import pytest
+from test_direct_relays import Relay
 from test_direct_steering import (
     LOCAL,
     OK,
@@ -26,6 +28,7 @@
 )
 from currantmast.direct.model import Bounds, InstanceRecord, Location, Team
 from currantmast.direct.positions import Position
+from currantmast.direct.readtimes import ReadTimes
 from currantmast.direct.reports import Heartbeat
 from currantmast.direct.storehealth import StoreHealth
 from currantmast.direct.updates import Entry, InvalidEntry, StoreUpdate, Topic
@@ -211,3 +214,39 @@
     for number in range(1, 200):
         ask(number)
     assert count_series() == before
+
+
+def test_source_of_each_topic_and_what_a_relay_cost_are_logged(output):
+    """Guards against a reserve whose logs don't tell why it learned of a drain late."""
+    with Relay() as relay:
+        relay.read(Topic.targets, StoreUpdate(Position(1, 9), ()))
+        relay.source.list_all(Topic.targets)
+    relay.direct.answers[Topic.targets] = StoreUpdate(Position(1, 12), ())
+    relay.source.list_all(Topic.targets)
+    events = ['source_changed', 'relay_lost', 'relay_lost', 'source_changed']
+    assert list_events(output) == events
+    sources = re.findall(r'source=(\S+)', output.getvalue())
+    assert sources[0].startswith('entry-')
+    assert sources[1] == 'store'
+    assert len(re.findall(r'waited_s=\d', output.getvalue())) == 2
+
+
+def test_request_tells_the_age_of_what_is_known_of_the_targets(output):
+    harness = SteeringHarness()
+    harness.state.store_health.read_times.note(
+        Topic.targets, harness.clock.now() - 3.25
+    )
+    harness.connections.results = [OK]
+    harness.ask()
+    assert 'targets_age_s=3.25' in output.getvalue()
+
+
+def test_age_of_a_topic_is_that_of_its_newest_read():
+    clock = ManualClock(100)
+    times = ReadTimes(clock)
+    assert times.age(Topic.targets) == math.inf
+    times.note(Topic.targets, 98)
+    times.note(Topic.targets, 97)
+    clock.advance(1)
+    assert times.age(Topic.targets) == 3
+    assert times.age(Topic.evacuations) == math.inf
--- a/tests/test_direct_relays.py
+++ b/tests/test_direct_relays.py
@@ -104,6 +104,13 @@
             RecordingSource(self.direct, self.clock), self.members, self.clock
         )
 
+    def __enter__(self):
+        self.server.__enter__()
+        return self
+
+    def __exit__(self, *exc_info):
+        self.server.__exit__(*exc_info)
+
     def read(self, topic, update):
         self.store.answers[topic] = update
         self.recorded.list_all(topic)
@@ -111,8 +118,7 @@
 
 @pytest.fixture
 def relay():
-    found = Relay()
-    with found.server:
+    with Relay() as found:
         yield found
 
 
