--- a/currantmast/direct/model.py
+++ b/currantmast/direct/model.py
@@ -264,6 +264,11 @@
         Seconds after which the entry of a target that no longer renews it has expired.
     lookup_ttl_s : float
         Longest lifetime of a look-up answer, in seconds.
+    propagation_s : float
+        Seconds within which a change of targets or of the configuration in the store must
+        be acted on.
+    evacuation_s : float
+        The same for an evacuation.
     """
 
     revoke_s: float = 5
@@ -278,6 +283,8 @@
     expiry_s: float = 3
     lapse_s: float = 4.5
     lookup_ttl_s: float = 5
+    propagation_s: float = 2.5
+    evacuation_s: float = 5
 
 
 class DirectSettings(msgspec.Struct, frozen=True):
--- a/currantmast/direct/process.py
+++ b/currantmast/direct/process.py
@@ -200,7 +200,7 @@
             (Topic.instances, self._instances, self._set_members_listed),
         )
         health = state.store_health
-        source = RelayedSource(self._recorded, state.members, self._clock)
+        source = RelayedSource(self._recorded, state.members, self._clock, health)
         for topic, subscriber, on_read in followers:
             follower = Follower(topic, source, subscriber, self._clock, health, on_read)
             supervisor.add(f'follow-{topic.value}', partial(self._follow, follower))
--- a/currantmast/direct/storehealth.py
+++ b/currantmast/direct/storehealth.py
@@ -13,6 +13,7 @@
 from currantmast.clocks import Clock
 from currantmast.direct.model import Bounds
 from currantmast.direct.readtimes import ReadTimes
+from currantmast.direct.updates import Topic
 from currantmast.runtime.logs import log_event
 
 # Seconds after the store's recovery within which targets whose entries expired during
@@ -141,6 +142,16 @@
         """Seconds after a failure within which the store's state must be acted on."""
         return self._bounds.recovery_s
 
+    def get_bound(self, topic: Topic) -> float:
+        """Return the seconds within which a change of `topic` must be acted on."""
+        match topic:
+            case Topic.configuration | Topic.targets:
+                return self._bounds.propagation_s
+            case Topic.evacuations:
+                return self._bounds.evacuation_s
+            case Topic.instances:
+                return self._bounds.recovery_s
+
     def apply_bounds(self, bounds: Bounds) -> None:
         """Set the limits of the whole fleet."""
         self._bounds = bounds
--- a/currantmast/platform/boot.py
+++ b/currantmast/platform/boot.py
@@ -82,6 +82,9 @@
     ttl_max_s: float = 5
     # Seconds after the end of any failure from which the other bounds hold again.
     touch_s: float = 3
+    drain_s: float = 2.5
+    config_apply_s: float = 2.5
+    evac_s: float = 5
 
 
 class _Terms(msgspec.Struct):
@@ -172,6 +175,8 @@
             rate_slack=bounds.quota_slack,
             lookup_ttl_s=bounds.ttl_max_s,
             recovery_s=bounds.touch_s,
+            propagation_s=min(bounds.drain_s, bounds.config_apply_s),
+            evacuation_s=bounds.evac_s,
             expiry_s=boot.provider.beat_s * EXPIRY_INTERVALS,
             lapse_s=boot.provider.beat_s * LAPSE_INTERVALS,
         ),
--- a/tests/followingfleet.py
+++ b/tests/followingfleet.py
@@ -97,7 +97,9 @@
         self.store._connections = Connections(record.id, network)
         recorded = RecordingSource(self.store, self.clock)
         network.relays[record.peer] = (record.id, RelayServer(recorded, self.clock))
-        self.source = RelayedSource(recorded, self.state.members, self.clock)
+        self.source = RelayedSource(
+            recorded, self.state.members, self.clock, self.state.store_health
+        )
         self.source._connections = Connections(record.id, network)
         connections = TargetConnections(self.clock)
         self.instances = InstanceSubscriber(self.state)
--- a/tests/test_direct_relays.py
+++ b/tests/test_direct_relays.py
@@ -23,7 +23,12 @@
 )
 from currantmast.direct.relays import RecordingSource, RelayServer
 from currantmast.direct.reports import Heartbeat
-from currantmast.direct.reserves import RelayedSource, list_relays
+from currantmast.direct.reserves import (
+    ANSWER_MARGIN_S,
+    RelayedSource,
+    list_relays,
+)
+from currantmast.direct.storehealth import StoreHealth
 from currantmast.direct.updatelogs import UpdateLog
 from currantmast.direct.updates import Entry, InvalidEntry, StoreUpdate, Topic
 from currantmast.errors import StoreUnavailable, WatchExpired
@@ -101,7 +106,10 @@
             self.members.observe(Heartbeat(name, 'run', 1, True, False))
         self.members.update_entries()
         self.source = RelayedSource(
-            RecordingSource(self.direct, self.clock), self.members, self.clock
+            RecordingSource(self.direct, self.clock),
+            self.members,
+            self.clock,
+            StoreHealth(self.clock),
         )
 
     def __enter__(self):
@@ -230,7 +238,8 @@
     relay.read(Topic.targets, StoreUpdate(at(9), ()))
     relay.store.answers[Topic.targets] = StoreUpdate(at(3), ())
     own.list_all(Topic.targets)
-    RelayedSource(own, relay.members, relay.clock).list_all(Topic.targets)
+    health = StoreHealth(relay.clock)
+    RelayedSource(own, relay.members, relay.clock, health).list_all(Topic.targets)
     with pytest.raises(StoreUnavailable):
         own.logs[Topic.targets].list_all()
 
@@ -263,7 +272,7 @@
     for record in list_relays(relay.members):
         relay.members.put(msgspec.structs.replace(record, peer=link.address))
     for record in list_relays(relay.members):
-        relay.source._call(record, '/targets', Topic.targets, 0)
+        relay.source._call(record, Topic.targets, None, ANSWER_MARGIN_S)
     link.silence()
     assert relay.source.list_all(Topic.targets).position == at(9)
     link.close()
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -89,6 +89,9 @@
 revoke_s = 4
 strict_revoke = true
 touch_s = 4
+drain_s = 3.5
+config_apply_s = 3
+evac_s = 4.5
 """
 
 
@@ -181,3 +184,10 @@
 def test_invalid_settings_are_rejected_with_the_file_name(found, replaced):
     with pytest.raises(SettingsError, match='boot.toml'):
         decode_boot(tomllib.loads(BOOT.replace(found, replaced)), 'boot.toml')
+
+
+def test_bounds_on_changes_are_decoded():
+    bounds = decode_boot(tomllib.loads(BOOT), 'boot.toml').bounds
+    assert bounds.propagation_s == 3
+    assert bounds.evacuation_s == 4.5
+    assert bounds.recovery_s == 4
