--- a/currantmast/direct/attempts.py
+++ b/currantmast/direct/attempts.py
@@ -126,6 +126,9 @@
             in_time
             and self.count < MAX_ATTEMPTS
             and self._sent < admission.route.attempts
+            and self._state.stop.may_finish(
+                (admission.service,), admission.started_at, admission.deadline_at
+            )
         )
 
     def choose(self) -> Choice | NoCapacity:
--- a/currantmast/direct/instance_state.py
+++ b/currantmast/direct/instance_state.py
@@ -19,6 +19,7 @@
 from currantmast.direct.placement import Placement
 from currantmast.direct.rates import FleetRateLimiter
 from currantmast.direct.retries import RetryBudgets
+from currantmast.direct.stopping import PlannedStop
 from currantmast.direct.storehealth import StoreHealth
 from currantmast.direct.targetlimits import TargetLimits
 from currantmast.direct.targets import TargetTable
@@ -57,7 +58,7 @@
         self.targets_listed = False
         # Time at which the members were listed for the first time.
         self.members_listed_at = math.inf
-        self.leaving = False
+        self.stop = PlannedStop(clock)
         self.apply_bounds(bounds)
         self._divide_budgets()
 
@@ -71,6 +72,11 @@
         """Whether the members were listed."""
         return self.members_listed_at < math.inf
 
+    @property
+    def leaving(self) -> bool:
+        """Whether the planned stop of this instance has begun."""
+        return self.stop.begun
+
     def is_ready(self) -> bool:
         """Return whether callers may be sent to this instance."""
         known = self.configuration.value is not None and self.targets_listed
--- a/currantmast/direct/process.py
+++ b/currantmast/direct/process.py
@@ -41,11 +41,6 @@
 HOUSEKEEPING_INTERVAL_S = 0.5
 RELOAD_INTERVAL_S = 1.0
 
-# Fractions of the grace period after which a stopping instance accepts no more requests,
-# and after which it exits at the latest. Until the first, callers learn that it leaves;
-# between the two, the requests accepted last are answered.
-ACCEPT_FRACTION = 0.5
-EXIT_FRACTION = 0.95
 STOP_POLL_INTERVAL_S = 0.05
 
 # Pause before the first read when the whole fleet starts, so that all members have
@@ -281,19 +276,16 @@
         heartbeat_socket: HeartbeatSocket,
     ) -> None:
         self._stopping.wait()
-        started_at = self._clock.now()
         grace_s = self.state.bounds.grace_s
         log_event('stopping', active=front.active_requests, grace_s=grace_s)
-        self.state.leaving = True
+        stop = self.state.stop
+        stop.begin(grace_s)
         front.disable_keep_alive()
         heartbeat_socket.send_to_all()
-        self._clock.sleep(grace_s * ACCEPT_FRACTION)
+        self._clock.sleep(stop.accept_until - self._clock.now())
         front.stop_accepting()
         self._remove_member(self.state.members.own)
-        while (
-            front.has_pending_requests()
-            and self._clock.now() - started_at < grace_s * EXIT_FRACTION
-        ):
+        while front.has_pending_requests() and self._clock.now() < stop.exit_at:
             self._clock.sleep(STOP_POLL_INTERVAL_S)
         log_event('drained', active=front.active_requests)
         supervisor.stop()
--- a/currantmast/direct/steering.py
+++ b/currantmast/direct/steering.py
@@ -106,6 +106,11 @@
         route = state.configuration.match(call.host.partition(':')[0], call.path)
         if route is None:
             return self._refuse(call, Reason.service_unknown)
+        deadline_at = _find_deadline(call, route, received_at)
+        services = (weighted.service for weighted in route.weighted_services)
+        if not state.stop.may_finish(services, received_at, deadline_at):
+            # Before the team's rate is used, as the request will come elsewhere.
+            return self._refuse(call, Reason.stopping, MIN_RETRY_AFTER_S)
         team = None
         if config.teams and not route.keyless:
             found = self._admit_team(call)
@@ -133,7 +138,6 @@
     def _make_admission(
         self, call: CallerRequest, route: Route, team: Team | None, received_at: float
     ) -> Admission:
-        limit_s = call.time_limit_s or DEFAULT_TIME_LIMIT_S
         allowed_regions = route.allowed_regions
         if team is not None and team.allowed_regions:
             allowed_regions = (
@@ -151,7 +155,7 @@
             service=self._state.service_picker.pick(route).service,
             allowed_regions=allowed_regions,
             started_at=received_at,
-            deadline_at=received_at + min(limit_s, route.timeout_s) - ANSWER_MARGIN_S,
+            deadline_at=_find_deadline(call, route, received_at),
             objective_at=received_at + route.latency_objective_s,
         )
 
@@ -191,6 +195,7 @@
             self._log_oversize(admission, target, error)
             elapsed_s = self._clock.now() - started
             self._state.placement.note_served(admission.service, choice, elapsed_s)
+            self._state.stop.note_answer(admission.service, elapsed_s)
             return OutcomeUnknown(_get_failure_reason(error))
         finally:
             target.in_flight -= 1
@@ -250,6 +255,7 @@
                 # targets will show that later.
                 target.ejection.begin()
                 return NotRun(Reason.target_lost)
+        self._state.stop.note_answer(admission.service, elapsed_s)
         if target_answer.status >= SERVER_ERROR:
             target.note_failure()
         else:
@@ -379,6 +385,11 @@
         )
 
 
+def _find_deadline(call: CallerRequest, route: Route, received_at: float) -> float:
+    limit_s = call.time_limit_s or DEFAULT_TIME_LIMIT_S
+    return received_at + min(limit_s, route.timeout_s) - ANSWER_MARGIN_S
+
+
 def _get_failure_reason(error: ExchangeBroken) -> Reason:
     match error:
         case ProgressTimeout():
--- a/currantmast/outcomes.py
+++ b/currantmast/outcomes.py
@@ -20,6 +20,7 @@
     no_configuration = 'no_configuration'
     not_owner = 'not_owner'
     no_capacity = 'no_capacity'
+    stopping = 'stopping'
     link_full = 'link_full'
     deadline = 'deadline'
     claims_unavailable = 'claims_unavailable'
--- a/currantmast/standins/platformfleet.py
+++ b/currantmast/standins/platformfleet.py
@@ -56,6 +56,31 @@
 PROMISES = frozenset((408, 421, 429, 503))
 
 
+class WorkPlan(msgspec.Struct, frozen=True):
+    """How long requests take, and how long a stop of an instance.
+
+    Parameters
+    ----------
+    warm_s, cold_s : float
+        Time of work on objects that a back end knows, and on others, in seconds.
+    slots : int
+        Requests that a back end runs at once.
+    timeout_s : float
+        Timeout of each route in seconds.
+    grace_s : float
+        Seconds from a planned stop of an instance until it would be killed.
+    """
+
+    warm_s: float = 0.02
+    cold_s: float = 0.06
+    slots: int = 3
+    timeout_s: float = 2
+    grace_s: float = 6
+
+
+DEFAULT_WORK = WorkPlan()
+
+
 class Tally(msgspec.Struct):
     """What callers saw.
 
@@ -83,10 +108,15 @@
         Number of instances, spread over the failure domains.
     seed : int
         Seed of the load.
+    work : WorkPlan
+        How long requests and stops take.
     """
 
-    def __init__(self, size: int = 6, seed: int = 1) -> None:
+    def __init__(
+        self, size: int = 6, seed: int = 1, work: WorkPlan = DEFAULT_WORK
+    ) -> None:
         self.size = size
+        self.work = work
         self.version = 1
         self.keys = {team: [key] for team, key in KEYS.items()}
         self.ran: Counter[str] = Counter()
@@ -130,7 +160,8 @@
 
     def publish(self) -> None:
         """Put the present keys in force as a new version."""
-        resources = [_make_route(*route) for route in ROUTES]
+        timeout_s = self.work.timeout_s
+        resources = [_make_route(*route, timeout_s) for route in ROUTES]
         resources += [
             {'res_kind': 'services', 'meta': {'name': service}, 'spec': {}}
             for _, _, service in ROUTES
@@ -244,7 +275,14 @@
         for zone in ZONES:
             for _, _, service in ROUTES:
                 for number in range(TARGETS_PER_ZONE):
-                    plan = TargetPlan(f'{service}-{zone}-{number}', service, zone)
+                    plan = TargetPlan(
+                        f'{service}-{zone}-{number}',
+                        service,
+                        zone,
+                        slots=self.work.slots,
+                        warm_s=self.work.warm_s,
+                        cold_s=self.work.cold_s,
+                    )
                     target = PlatformTarget(plan, self.ran)
                     self.targets.append(self._stack.enter_context(target))
                     self.store.put('servers', plan.id, target.describe())
@@ -269,6 +307,7 @@
             f'[network.listen]\nfront = "{front}"\nreadiness = "{ready}"\n'
             f'directory = "{lookup}"\n[network.zones]\n{zones}\n'
             f'[provider.provider]\naddr = "{self.store_links[name].address}"\n'
+            f'[terms.bounds]\ngrace_s = {self.work.grace_s}\n'
         )
         return path
 
@@ -317,7 +356,9 @@
     )
 
 
-def _make_route(prefix: str, kind: str, service: str) -> dict[str, Any]:
+def _make_route(
+    prefix: str, kind: str, service: str, timeout_s: float
+) -> dict[str, Any]:
     return {
         'res_kind': 'routes',
         'meta': {'name': f'r-{service}'},
@@ -325,7 +366,7 @@
             'host': HOST,
             'path_prefix': prefix,
             'type': kind,
-            'timeout_s': 2,
+            'timeout_s': timeout_s,
             'target_latency_s': 0.5,
             'prio': 1,
             'service': service,
