--- a/currantmast/platform/pages.py
+++ b/currantmast/platform/pages.py
@@ -12,7 +12,7 @@
 from currantmast.direct.updates import Entry, InvalidEntry, Topic
 from currantmast.errors import StoreUnavailable
 from currantmast.platform.documents import DECODERS
-from currantmast.platform.pruning import prune_json
+from currantmast.platform.pruning import isolate_json, prune_json
 from currantmast.runtime.logs import log_event
 
 
@@ -70,16 +70,14 @@
     """
     try:
         return _page_decoder.decode(body)
-    except RecursionError:
-        return _decode_pruned(body)
-    except msgspec.MsgspecError as error:
-        raise StoreUnavailable(f'unreadable answer: {error}') from error
+    except (msgspec.MsgspecError, RecursionError):
+        return _decode_repaired(body)
 
 
-def _decode_pruned(body: bytes) -> Page:
-    """Decode a page with an entry that is nested too deep to be decoded whole."""
+def _decode_repaired(body: bytes) -> Page:
+    """Decode a page with an entry that keeps it from being decoded whole."""
     try:
-        return _page_decoder.decode(prune_json(body))
+        return _page_decoder.decode(isolate_json(prune_json(body)))
     except msgspec.MsgspecError as error:
         raise StoreUnavailable(f'unreadable answer: {error}') from error
 
--- a/currantmast/platform/pruning.py
+++ b/currantmast/platform/pruning.py
@@ -1,13 +1,24 @@
-"""Pruning of JSON that is nested deeper than a decoder can follow."""
+"""Repair of JSON that a decoder rejects whole because of one part of it."""
 
 import re
 
+import msgspec
+
 # Nesting that is kept: more than any document has that is of use.
 MAX_DEPTH = 64
 
 # Strings, in which brackets mean nothing, and brackets.
 _TOKENS = re.compile(rb'"(?:[^"\\]++|\\.)*+"|[\[{]|[\]}]', re.DOTALL)
 
+# Strings, and what else stands between brackets, commas and colons, with a colon that
+# follows a string: then it is a key.
+_SCALARS = re.compile(
+    rb'(?P<text>"(?:[^"\\]++|\\.)*+")(?P<colon>\s*:)?|[^\s\[\]{},:"]++', re.DOTALL
+)
+
+# Valid JSON that can be skipped, but not decoded: no number is so large.
+_UNDECODABLE = b'1e999'
+
 
 def prune_json(body: bytes, max_depth: int = MAX_DEPTH) -> bytes:
     """Return a JSON text with null in place of what is nested too deep.
@@ -36,3 +47,33 @@
                     kept_from = token.end()
     kept.append(body[kept_from:])
     return b''.join(kept)
+
+
+def isolate_json(body: bytes) -> bytes:
+    """Return a JSON text in which what can't be decoded spoils only what it is part of.
+
+    A decoder that skips over a value still rejects half of a surrogate pair, or a number
+    that is none. Such a part is replaced by one that only fails when it is decoded.
+
+    Parameters
+    ----------
+    body : bytes
+        The JSON text.
+    """
+    return _SCALARS.sub(_replace_undecodable, body)
+
+
+def _replace_undecodable(scalar: re.Match[bytes]) -> bytes:
+    if _is_decodable(scalar['text'] or scalar[0]):
+        return scalar[0]
+    if scalar['colon']:
+        return b'"":%b,"":' % _UNDECODABLE
+    return _UNDECODABLE
+
+
+def _is_decodable(text: bytes) -> bool:
+    try:
+        msgspec.json.decode(text, type=msgspec.Raw)
+    except msgspec.MsgspecError:
+        return False
+    return True
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -154,6 +154,14 @@
     'number too large': b'{"slots":1e999}',
     'very long number': b'{"slots":' + b'9' * 400 + b'}',
     'no text': b'{"zone":"\xff\xfe"}',
+    'half a surrogate pair': b'{"service":"s1","addr":"10.0.0.1:1","zone":"fife-a",'
+    rb'"slots":3,"state":"ready","version":"v1 \ud83d"}',
+    'the other half': rb'{"zone":"\udc00 fife"}',
+    'half a pair in a key': rb'{"zone":"fife-a","\ud83d":{"a":"\ud83d\ud83d"}}',
+    'no number': b'{"slots":NaN}',
+    'control characters': b'{"zone":"a\x01b"}',
+    'no such escape': rb'{"zone":"\x41"}',
+    'nested and half a pair': b'{"a":' * 5000 + rb'"\ud83d"' + b'}' * 5000,
     'port out of range': b'{"service":"s1","addr":"10.0.0.1:99999","zone":"fife-a",'
     b'"slots":3,"state":"ready"}',
     'many slots': b'{"service":"s1","addr":"10.0.0.1:1","zone":"fife-a",'
