--- a/currantmast/direct/exchanges.py
+++ b/currantmast/direct/exchanges.py
@@ -32,6 +32,12 @@
 CHUNK_BYTES = 65_536
 CONNECT_TIMEOUT_S = 0.4
 
+# Longest time in seconds between two parts of an answer that may exceed its timeout.
+STALL_TIMEOUT_S = 0.6
+
+# Shortest timeout in seconds of a socket; 0 would make it non-blocking.
+MIN_TIMEOUT_S = 0.001
+
 # Bytes received after which the loop yields to other tasks.
 YIELD_BYTES = 128 * 1024
 
@@ -47,12 +53,50 @@
         Names and values, without Content-Length.
     body : bytes
         Complete request body.
+    transfer_s : float
+        Seconds by which an answer that has begun may exceed the timeout, as long as its
+        bytes keep arriving.
     """
 
     method: str
     url: str
     headers: tuple[tuple[str, str], ...]
     body: bytes = b''
+    transfer_s: float = 0
+
+
+class _Deadline:
+    """Time by which the next bytes of an answer must arrive.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    timeout_s : float
+        Seconds until the answer must have begun.
+    transfer_s : float
+        Seconds by which it may end later, as long as its bytes keep arriving.
+    """
+
+    __slots__ = ('_at', '_clock', '_last')
+
+    def __init__(self, clock: Clock, timeout_s: float, transfer_s: float) -> None:
+        self._clock = clock
+        self._at = clock.now() + timeout_s
+        self._last = self._at + transfer_s
+
+    def __repr__(self) -> str:
+        """Return a short description for debugging."""
+        return f'<_Deadline left_s={self.left_s():.3f}>'
+
+    def left_s(self) -> float:
+        """Return the seconds until the next bytes must arrive."""
+        return self._at - self._clock.now()
+
+    def note_progress(self) -> None:
+        """Record that bytes have arrived."""
+        next_at = min(self._last, self._clock.now() + STALL_TIMEOUT_S)
+        self._at = max(self._at, next_at)
 
 
 class _Idle(msgspec.Struct, frozen=True):
@@ -139,12 +183,15 @@
             connect_s = self._clock.now() - started
         reader = AnswerReader(matches, connect_s, self._buffered)
         reusable = False
+        left_s = timeout_s - (self._clock.now() - started)
+        deadline = _Deadline(self._clock, left_s, request.transfer_s)
+        longest_s = left_s + request.transfer_s
         try:
-            with gevent.Timeout(
-                timeout_s - (self._clock.now() - started), ProgressTimeout('no answer')
-            ):
-                answer = _send_and_receive(sock, request, reader)
+            with gevent.Timeout(longest_s, ProgressTimeout('no answer')):
+                answer = _send_and_receive(sock, request, reader, deadline)
             reusable = reader.is_reusable()
+        except TimeoutError as error:
+            raise ProgressTimeout('no answer') from error
         except OSError as error:
             raise ExchangeBroken(f'{type(error).__name__}: {error}') from error
         finally:
@@ -162,7 +209,6 @@
             sock = create_connection((address.host, address.port), timeout_s)
         except OSError as error:
             raise NothingSent(f'{address}: {error}') from error
-        sock.settimeout(None)
         sock.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
         self.opened_count += 1
         return sock
@@ -184,8 +230,9 @@
 
 
 def _send_and_receive(
-    sock: Socket, request: TargetRequest, reader: AnswerReader
+    sock: Socket, request: TargetRequest, reader: AnswerReader, deadline: _Deadline
 ) -> Answer:
+    sock.settimeout(None)
     try:
         sock.sendall(encode_request(request))
     except ConnectionError:
@@ -194,9 +241,12 @@
         gevent.sleep(0)
     unyielded_bytes = 0
     while reader.answer is None:
+        if request.transfer_s:
+            sock.settimeout(max(MIN_TIMEOUT_S, deadline.left_s()))
         received = sock.recv(CHUNK_BYTES)
         if received:
             reader.feed(received)
+            deadline.note_progress()
         else:
             reader.finish()
         unyielded_bytes += len(received)
--- a/currantmast/direct/reserves.py
+++ b/currantmast/direct/reserves.py
@@ -13,7 +13,7 @@
 from currantmast.direct.relaymessages import decode_update
 from currantmast.direct.relays import MAX_WAIT_S, RecordingSource
 from currantmast.direct.storehealth import StoreHealth
-from currantmast.direct.updates import StoreUpdate, Topic
+from currantmast.direct.updates import TRANSFER_S, StoreUpdate, Topic
 from currantmast.errors import StoreUnavailable, TransportError, WatchExpired
 from currantmast.runtime.logs import log_event
 
@@ -233,10 +233,12 @@
         timeout_s: float,
     ) -> StoreUpdate:
         path = _make_path(topic, position, max(0, timeout_s - ANSWER_MARGIN_S))
+        headers = (('Host', relay.id),)
+        transfer_s = TRANSFER_S.get(topic, 0)
         answer = self._connections.exchange(
             _name_channel(relay, topic),
             relay.peer,
-            TargetRequest('GET', path, (('Host', relay.id),)),
+            TargetRequest('GET', path, headers, transfer_s=transfer_s),
             timeout_s,
             lambda _: True,
         )
--- a/currantmast/direct/updates.py
+++ b/currantmast/direct/updates.py
@@ -1,6 +1,8 @@
 """What the store tells: entries by topic, and updates of them."""
 
+from collections.abc import Mapping
 from enum import Enum
+from types import MappingProxyType
 from typing import Any, Protocol
 
 import msgspec
@@ -17,6 +19,11 @@
     instances = 'instances'
 
 
+# Seconds by which an answer that keeps arriving may exceed its timeout: the configuration
+# can be large, and the link slow. Other topics consist of many small entries.
+TRANSFER_S: Mapping[Topic, float] = MappingProxyType({Topic.configuration: 8})
+
+
 class InvalidEntry(msgspec.Struct, frozen=True):
     """Value of an entry that can't be decoded; the entry is treated as removed."""
 
--- a/currantmast/platform/store.py
+++ b/currantmast/platform/store.py
@@ -9,7 +9,7 @@
 from currantmast.direct.exchanges import TargetConnections, TargetRequest
 from currantmast.direct.model import InstanceRecord
 from currantmast.direct.positions import Position
-from currantmast.direct.updates import Entry, StoreUpdate, Topic
+from currantmast.direct.updates import TRANSFER_S, Entry, StoreUpdate, Topic
 from currantmast.errors import (
     StoreConflict,
     StoreError,
@@ -62,10 +62,14 @@
         Source of time.
     """
 
-    __slots__ = ('_address', '_connections', 'call_count')
+    __slots__ = ('_address', '_connections', '_headers', 'call_count')
 
     def __init__(self, address: Address, clock: Clock) -> None:
         self._address = address
+        self._headers = (
+            ('Host', str(address)),
+            ('Content-Type', 'application/json'),
+        )
         self._connections = TargetConnections(clock)
         self.call_count = 0
 
@@ -160,7 +164,7 @@
         path = f'/objects/{OBJECT_KINDS[topic]}'
         if query:
             path = f'{path}?{urlencode(query)}'
-        answer = self._send(topic.value, 'GET', path, timeout_s=timeout_s)
+        answer = self._send(topic.value, self._make_request(path, topic), timeout_s)
         if answer.status == HTTPStatus.GONE:
             raise WatchExpired(f'{topic.value}: {query}')
         _raise_for_status(answer)
@@ -168,24 +172,17 @@
         return page, Position(_find_era(answer), page.current_rev)
 
     def _call(self, method: str, path: str, body: bytes = b'') -> Answer:
+        request = TargetRequest(method, path, self._headers, body)
         try:
-            return self._send(WRITES, method, path, body)
+            return self._send(WRITES, request, CALL_TIMEOUT_S)
         except StoreUnavailable as error:
             raise StoreOutcomeUnknown(f'{method} {path}: {error}') from error
 
-    def _send(
-        self,
-        channel: str,
-        method: str,
-        path: str,
-        body: bytes = b'',
-        timeout_s: float = CALL_TIMEOUT_S,
-    ) -> Answer:
-        headers = (
-            ('Host', str(self._address)),
-            ('Content-Type', 'application/json'),
-        )
-        request = TargetRequest(method, path, headers, body)
+    def _make_request(self, path: str, topic: Topic) -> TargetRequest:
+        transfer_s = TRANSFER_S.get(topic, 0)
+        return TargetRequest('GET', path, self._headers, transfer_s=transfer_s)
+
+    def _send(self, channel: str, request: TargetRequest, timeout_s: float) -> Answer:
         self.call_count += 1
         try:
             return self._connections.exchange(
