--- a/currantmast/direct/freshness.py
+++ b/currantmast/direct/freshness.py
@@ -66,6 +66,7 @@
         '_confirmed_at',
         '_first_confirmed_at',
         '_newest_told_at',
+        '_peer_answered',
         'newest_version',
     )
 
@@ -77,6 +78,8 @@
         # said so first.
         self.newest_version = 0
         self._newest_told_at = -math.inf
+        # Whether a peer has told this run its version.
+        self._peer_answered = False
 
     def __repr__(self) -> str:
         """Return a short description for debugging."""
@@ -100,6 +103,7 @@
         arrived at the peer no earlier than it was sent, so `echoed_sent_at` + `offset_s` is
         no later than the peer's read. A positive offset is treated as 0.
         """
+        self._peer_answered = True
         self._note_version(confirmation.version, local_version)
         if confirmation.version != local_version or not local_version:
             return False
@@ -129,6 +133,15 @@
             and told_at < self._first_confirmed_at + START_SYNC_S
         )
 
+    def is_checked(self, *, has_peers: bool) -> bool:
+        """Return whether a peer, if there is any, could tell of a newer version.
+
+        A run that has just started knows nothing but what it has read, and a store that
+        came back from a copy may lack a version that its peers have in force.
+        """
+        waited_s = self._clock.now() - self._first_confirmed_at
+        return self._peer_answered or not has_peers or waited_s >= START_SYNC_S
+
     def is_valid(self, revoke_s: float) -> bool:
         """Return whether requests that require an API key may be admitted.
 
--- a/tests/test_direct_restored.py
+++ b/tests/test_direct_restored.py
@@ -212,3 +212,32 @@
     fleet.run(7)
     assert not fleet.list_without_lease()
     assert set(fleet.versions().values()) == {5}
+
+
+@pytest.mark.parametrize('fleet', SIZES, indirect=True)
+def test_new_run_admits_nothing_before_a_peer_could_tell_of_a_newer_version(fleet):
+    """Guards against a withdrawn key in use again until the first heartbeat arrives."""
+    copy = fleet.store.take_copy()
+    put_configuration(fleet, 5)
+    fleet.run(1)
+    lose(fleet, copy)
+    restarted = fleet.restart('i003')
+    for _ in range(12):
+        assert not restarted.has_lease()
+        assert not restarted.state.is_ready()
+        fleet.run(0.1)
+    put_configuration(fleet, 5)
+    fleet.run(1)
+    assert restarted.has_lease()
+
+
+def test_new_run_whose_peers_are_silent_admits_after_a_while(fleet):
+    """Guards against an instance that waits for members that no longer run."""
+    for name in fleet.instances:
+        if name != 'i003':
+            fleet.network.cut_off.add(name)
+    restarted = fleet.restart('i003')
+    fleet.run(1)
+    assert not restarted.has_lease()
+    fleet.run(1.5)
+    assert restarted.has_lease()
