--- a/currantmast/direct/exchanges.py
+++ b/currantmast/direct/exchanges.py
@@ -140,6 +140,18 @@
         for idle in self._idle.pop(target_id, ()):
             idle.sock.close()
 
+    def close_expired(self) -> None:
+        """Close the idle connections that are no longer used.
+
+        Among them are those that came back after their target had been removed.
+        """
+        now = self._clock.now()
+        for target_id, idle_sockets in tuple(self._idle.items()):
+            while idle_sockets and idle_sockets[0].until <= now:
+                idle_sockets.popleft().sock.close()
+            if not idle_sockets:
+                self._idle.pop(target_id)
+
     def close_all_idle(self) -> None:
         """Close the idle connections to all targets."""
         for target_id in tuple(self._idle):
--- a/currantmast/direct/process.py
+++ b/currantmast/direct/process.py
@@ -202,7 +202,7 @@
         supervisor.add('receive-heartbeats', heartbeat_socket.receive)
         supervisor.add('send-heartbeats', heartbeat_socket.send)
         supervisor.add('probe', prober.run)
-        supervisor.add('housekeeping', self._run_housekeeping)
+        supervisor.add('housekeeping', partial(self._run_housekeeping, connections))
         supervisor.add('reload', self._reload)
 
     def _follow(self, follower: Follower) -> None:
@@ -228,9 +228,10 @@
             self.state.rate_limiter.update_peers(self.state.list_demands())
             self.state.target_limits.update_peers(self.state.list_limited_demands())
 
-    def _run_housekeeping(self) -> None:
+    def _run_housekeeping(self, connections: TargetConnections) -> None:
         while True:
             self._register()
+            connections.close_expired()
             for record in list_removable(self.state.members):
                 self._remove_member(record)
             self._clock.sleep(HOUSEKEEPING_INTERVAL_S)
--- a/tests/test_direct_exchanges.py
+++ b/tests/test_direct_exchanges.py
@@ -229,3 +229,18 @@
     with pytest.raises(AnswerIncomplete):
         reader.finish()
     assert reader.answer is None
+
+
+def test_connection_of_a_removed_target_is_closed_in_the_end():
+    """Guards against descriptors that are lost with each target that leaves."""
+    answer = make_answer('a', extra='Keep-Alive: timeout=1\r\n')
+    with open_target([0.2, answer]) as target:
+        gevent.spawn_later(0.1, target.pool.close_idle, 't')
+        send(target, 'a')
+        sock = target.pool._idle['t'][0].sock
+        target.pool.close_expired()
+        assert not sock.closed
+        gevent.sleep(0.7)
+        target.pool.close_expired()
+        assert sock.closed
+        assert not target.pool._idle
