--- a/currantmast/direct/heartbeats.py
+++ b/currantmast/direct/heartbeats.py
@@ -43,6 +43,10 @@
 BRIEF_TO_RESERVE_S = 0.5
 BRIEF_TO_ENTRY_S = 1.0
 
+# Pause in seconds between looks for the first list of members. A new run admits nothing
+# before a member has answered it.
+START_POLL_S = 0.05
+
 MAX_DATAGRAM_BYTES = 65_536
 
 # Datagrams received after which the loop yields to other tasks.
@@ -98,7 +102,9 @@
             self._handle_heartbeat(heartbeat)
 
     def send(self) -> None:
-        """Send heartbeats forever, one round per period."""
+        """Send heartbeats forever, one round per period, once there are members."""
+        while not self._state.members_listed:
+            self._clock.sleep(START_POLL_S)
         for period in count():
             self._update_from_members()
             self.send_heartbeats(period)
@@ -128,11 +134,12 @@
             if interval and period % interval == 0:
                 self._send_to(peer, full if peer_active else brief)
 
-    def send_to_all(self) -> None:
-        """Send a heartbeat to every member, to announce a planned stop."""
+    def send_brief(self, member_id: str | None = None) -> None:
+        """Send a brief heartbeat at once, to one member or to all."""
         brief = self._make_brief()
         for peer in self._state.members.list_peers():
-            self._send_to(peer, brief)
+            if member_id in {None, peer.id}:
+                self._send_to(peer, brief)
 
     def _choose_interval(
         self, peer: InstanceRecord, own_active: bool, peer_active: bool
@@ -195,8 +202,12 @@
 
     def _handle_heartbeat(self, heartbeat: Heartbeat) -> None:
         state = self._state
+        known = state.members.get_last_heartbeat(heartbeat.sender)
         if not state.members.observe(heartbeat):
             return
+        if known is None or known.heartbeat.incarnation != heartbeat.incarnation:
+            # It admits nothing before it is answered.
+            self.send_brief(heartbeat.sender)
         if heartbeat.store is not None:
             state.store_health.note_peer(heartbeat.sender, heartbeat.store)
         self._note_limits(heartbeat)
--- a/currantmast/direct/process.py
+++ b/currantmast/direct/process.py
@@ -282,7 +282,7 @@
         stop = self.state.stop
         stop.begin(grace_s)
         front.disable_keep_alive()
-        heartbeat_socket.send_to_all()
+        heartbeat_socket.send_brief()
         self._clock.sleep(stop.accept_until - self._clock.now())
         front.stop_accepting()
         self._remove_member(self.state.members.own)
--- a/tests/followingfleet.py
+++ b/tests/followingfleet.py
@@ -126,6 +126,8 @@
         self.heartbeats = HeartbeatSocket(
             Address('127.0.0.1', 0), self.state, self.clock
         )
+        # The fleet passes heartbeats on itself; addresses of members are made up.
+        self.heartbeats._send_to = lambda peer, heartbeat: None
 
     def _note_members_listed(self, sent_at):
         self.state.members_listed_at = min(self.state.members_listed_at, sent_at)
--- a/tests/limitedfleet.py
+++ b/tests/limitedfleet.py
@@ -91,6 +91,16 @@
         return self.target.answer(self.name)
 
 
+class NoDatagrams:
+    """Stands for a socket: the fleet passes heartbeats on, to members without addresses."""
+
+    def sendto(self, payload, destination):
+        """Send nothing."""
+
+    def close(self):
+        """Close nothing."""
+
+
 class LimitedInstance:
     """One instance with its heartbeats."""
 
@@ -111,6 +121,8 @@
             TargetRecord('t1', 'desk', ADDRESS, Location('fife', 'fife-a'), 50)
         )
         self.heartbeats = HeartbeatSocket(ADDRESS, self.state, self.clock)
+        self.heartbeats.__exit__()
+        self.heartbeats._socket = NoDatagrams()
         self.steering = Steering(
             self.state, wire, Connections(record.id, target), self.clock, Meter()
         )
--- a/tests/test_direct_members.py
+++ b/tests/test_direct_members.py
@@ -156,3 +156,18 @@
         assert told.store == StoreContact(since_s=10, answered_s=1)
         state.store_health.note_failure(clock.now())
         assert heartbeat_socket._make_brief().store is None
+
+
+def test_new_run_is_answered_at_once(clock):
+    """Guards against a start that waits for the next period of its peers."""
+    state = InstanceState(make_record('a'), Bounds(), clock)
+    state.members.put(make_record('b'))
+    state.members.put(make_record('c'))
+    answered = []
+    with HeartbeatSocket(Address('127.0.0.1', 0), state, clock) as heartbeat_socket:
+        heartbeat_socket._send_to = lambda peer, heartbeat: answered.append(peer.id)
+        for run, sent_at in (('run 1', 1), ('run 1', 2), ('run 2', 1), ('run 2', 2)):
+            heartbeat_socket._handle_heartbeat(
+                Heartbeat('b', run, sent_at, True, False)
+            )
+    assert answered == ['b', 'b']
