--- a/currantmast/direct/exchanges.py
+++ b/currantmast/direct/exchanges.py
@@ -202,8 +202,6 @@
             with gevent.Timeout(longest_s, ProgressTimeout('no answer')):
                 answer = _send_and_receive(sock, request, reader, deadline)
             reusable = reader.is_reusable()
-        except TimeoutError as error:
-            raise ProgressTimeout('no answer') from error
         except OSError as error:
             raise ExchangeBroken(f'{type(error).__name__}: {error}') from error
         finally:
@@ -253,12 +251,9 @@
         gevent.sleep(0)
     unyielded_bytes = 0
     while reader.answer is None:
-        if request.transfer_s:
-            sock.settimeout(max(MIN_TIMEOUT_S, deadline.left_s()))
-        received = sock.recv(CHUNK_BYTES)
+        received = _receive(sock, request, deadline)
         if received:
             reader.feed(received)
-            deadline.note_progress()
         else:
             reader.finish()
         unyielded_bytes += len(received)
@@ -269,6 +264,18 @@
     return reader.answer
 
 
+def _receive(sock: Socket, request: TargetRequest, deadline: _Deadline) -> bytes:
+    if not request.transfer_s:
+        return sock.recv(CHUNK_BYTES)
+    sock.settimeout(max(MIN_TIMEOUT_S, deadline.left_s()))
+    try:
+        received = sock.recv(CHUNK_BYTES)
+    except TimeoutError as error:
+        raise ProgressTimeout('no more bytes') from error
+    deadline.note_progress()
+    return received
+
+
 def encode_request(request: TargetRequest) -> bytes:
     """Return the request as HTTP/1.1 bytes."""
     lines = [f'{request.method} {request.url} HTTP/1.1']
--- a/currantmast/direct/freshness.py
+++ b/currantmast/direct/freshness.py
@@ -133,7 +133,7 @@
             and told_at < self._first_confirmed_at + START_SYNC_S
         )
 
-    def is_checked(self, *, has_peers: bool) -> bool:
+    def is_synchronized(self, *, has_peers: bool) -> bool:
         """Return whether a peer, if there is any, could tell of a newer version.
 
         A run that has just started knows nothing but what it has read, and a store that
--- a/currantmast/direct/instance_state.py
+++ b/currantmast/direct/instance_state.py
@@ -80,7 +80,7 @@
     def is_ready(self) -> bool:
         """Return whether callers may be sent to this instance."""
         known = self.configuration.value is not None and self.targets_listed
-        return known and self._is_checked() and not self.leaving
+        return known and self._is_synchronized() and not self.leaving
 
     def confirm_configuration(self, sent_at: float) -> None:
         """Renew the lease after a read that was sent at `sent_at`.
@@ -99,7 +99,7 @@
         """Return whether requests that require an API key may be admitted."""
         behind = self.freshness.started_behind(self.configuration.version)
         is_valid = self.freshness.is_valid(self.bounds.revoke_s)
-        return is_valid and self._is_checked() and not behind
+        return is_valid and self._is_synchronized() and not behind
 
     def list_demands(self) -> tuple[DemandReport, ...]:
         """Return the demand that the other active members reported, by team."""
@@ -122,8 +122,8 @@
             self._divide_budgets()
         return changed
 
-    def _is_checked(self) -> bool:
-        return self.freshness.is_checked(has_peers=len(self.members) > 1)
+    def _is_synchronized(self) -> bool:
+        return self.freshness.is_synchronized(has_peers=len(self.members) > 1)
 
     def _list_expected(self) -> frozenset[str]:
         """Return the ids of the other members that are expected to report demand.
--- a/currantmast/direct/reserves.py
+++ b/currantmast/direct/reserves.py
@@ -168,6 +168,7 @@
                 self._connections.close_all_idle()
             except StoreUnavailable:
                 refusals += 1
+            # The next relay is asked at least for its present state, if time is left.
             present_by = self._clock.now() + ANSWER_MARGIN_S
             answer_by = min(max(answer_by, present_by), self._get_deadline(topic))
         if refusals and now - self._called_store_at.get(topic, 0) < DIRECT_INTERVAL_S:
--- a/tests/followingfleet.py
+++ b/tests/followingfleet.py
@@ -159,12 +159,7 @@
         self.rng = rng
         self.network = Network(self.clock)
         self.store = self.network.store
-        domains = [
-            Location(region, f'{region}-{number}')
-            for number in range(DOMAINS_PER_REGION)
-            for region in REGIONS
-        ]
-        configure_regions({place.failure_domain: place.region for place in domains})
+        domains = configure_domains()
         self.records = [
             make_record(number, domains[number % len(domains)])
             for number in range(size)
@@ -236,6 +231,17 @@
             instance.state.update_entries()
 
 
+def configure_domains():
+    """Return the failure domains, after the adapter was told their regions."""
+    domains = [
+        Location(region, f'{region}-{number}')
+        for number in range(DOMAINS_PER_REGION)
+        for region in REGIONS
+    ]
+    configure_regions({place.failure_domain: place.region for place in domains})
+    return domains
+
+
 def hears(receiver, sender, entries):
     """Return whether `receiver` gets the heartbeats of `sender`."""
     are_entries = sender.record.id in entries, receiver.record.id in entries
--- a/tests/relayedreserve.py
+++ b/tests/relayedreserve.py
@@ -5,28 +5,25 @@
 from random import Random
 
 import gevent
-from followingfleet import make_configuration, make_server
+from followingfleet import configure_domains, make_configuration, make_server
 
 from currantmast.clocks import BootClock
 from currantmast.direct.following import Follower
 from currantmast.direct.front import FrontServer
 from currantmast.direct.members import Members
-from currantmast.direct.model import CallerLimits, InstanceRecord, Location
+from currantmast.direct.model import CallerLimits, InstanceRecord
 from currantmast.direct.relays import RecordingSource, RelayServer
 from currantmast.direct.reports import Heartbeat
 from currantmast.direct.reserves import RelayedSource, list_relays
 from currantmast.direct.storehealth import StoreHealth
 from currantmast.direct.updates import Topic
 from currantmast.messages import Address
-from currantmast.platform.documents import configure_regions
 from currantmast.platform.store import ObjectStore
 from currantmast.standins.platformstore import PlatformStore
 from currantmast.standins.proxy import Link
 from currantmast.standins.shaping import Channel, LinkFaults, LinkSettings
 
 ANY_PORT = Address('127.0.0.1', 0)
-REGIONS = ('fife', 'skye', 'uist')
-DOMAINS_PER_REGION = 3
 HEARTBEAT_S = 0.3
 SLOW_ANSWER_S = 1.0
 FOREVER_S = 60
@@ -137,12 +134,7 @@
         self._stack = ExitStack()
         self._bounds = bounds
         self.store = PlatformStore()
-        domains = [
-            Location(region, f'{region}-{number}')
-            for number in range(DOMAINS_PER_REGION)
-            for region in REGIONS
-        ]
-        configure_regions({place.failure_domain: place.region for place in domains})
+        domains = configure_domains()
         self.records = [
             InstanceRecord(
                 f'i{number:03}',
