--- a/tests/relayedreserve.py
+++ b/tests/relayedreserve.py
@@ -129,8 +129,9 @@
     If the fleet is so small that it has no reserves, the member reads the store itself.
     """
 
-    def __init__(self, size, bounds):
+    def __init__(self, size, bounds, before_start=lambda relays: None):
         self.clock = BootClock()
+        self._before_start = before_start
         self._stack = ExitStack()
         self._bounds = bounds
         self.store = PlatformStore()
@@ -158,6 +159,8 @@
         own = self.members.own
         if own.id not in self.members.entries:
             self._start_relays()
+        self._before_start(self.relays)
+        self.started_at = self.clock.now()
         store = ObjectStore(self.store.address, self.clock)
         self.reserve = Reader(self.members, store, self._bounds, self.clock)
         self._stack.callback(self.reserve.end)
--- a/tests/test_direct_relayedreserve.py
+++ b/tests/test_direct_relayedreserve.py
@@ -81,6 +81,21 @@
     check(run(63, bounds, freeze_both), bounds)
 
 
+@pytest.mark.parametrize('trouble', [freeze_both, silence_both, refuse_and_freeze])
+def test_reserve_that_starts_reads_all_in_time_beside_silent_relays(trouble):
+    """Guards against a start that waits for one silent relay after the other."""
+    bounds = Bounds(propagation_s=2.5)
+
+    def let_read_and_trouble(relays):
+        gevent.sleep(0.5)
+        trouble(relays)
+
+    with RelayedReserve(63, bounds, let_read_and_trouble) as fleet:
+        fleet.store.put('evacuations', 'fife-0', {})
+        delays = fleet.measure_delays(fleet.started_at, 4)
+    check(delays, bounds)
+
+
 @pytest.mark.parametrize('size', [9, 63])
 def test_calm_reserve_learns_at_once(size):
     bounds = Bounds(propagation_s=2.5)
