Read load of more than three fields, and routes of downloads

Cause: WorkKind did not know downloads, so every configuration with such a route was rejected whole; the load header was read only with exactly three fields, so targets that also tell their slowdown counted as silent. Change: downloads are a repeatable kind; three fields of a load are needed, the fourth is the slowdown in percent, further ones are ignored. A configuration that ranks a route highest asks for overload control; nothing uses that yet.

--- a/currantmast/direct/configurations.py
+++ b/currantmast/direct/configurations.py
@@ -80,10 +80,11 @@
 class CurrentConfiguration:
     """The newest configuration seen by this process; an older one never replaces it."""
 
-    __slots__ = ('_routes', 'value')
+    __slots__ = ('_routes', 'has_overload_control', 'value')
 
     def __init__(self) -> None:
         self.value: Configuration | None = None
+        self.has_overload_control = False
         self._routes = RouteTable(())
 
     def __repr__(self) -> str:
@@ -100,6 +101,7 @@
         if self.value is not None and configuration.version <= self.version:
             return False
         self.value = configuration
+        self.has_overload_control = configuration.has_overload_control
         self._routes = RouteTable(configuration.routes)
         return True
 
--- a/currantmast/direct/model.py
+++ b/currantmast/direct/model.py
@@ -6,6 +6,9 @@
 
 from currantmast.messages import Address
 
+# Priority of the most urgent requests; a larger number is less urgent.
+HIGHEST_PRIORITY = 0
+
 
 class Location(msgspec.Struct, frozen=True):
     """Region and failure domain of a target or an instance."""
@@ -20,11 +23,12 @@
     idempotent = 'idempotent'
     non_idempotent = 'non_idempotent'
     upload = 'upload'
+    download = 'download'
 
     @property
     def repeatable(self) -> bool:
         """Whether a request may run more than once."""
-        return self is WorkKind.idempotent
+        return self in {WorkKind.idempotent, WorkKind.download}
 
 
 class WeightedService(msgspec.Struct, frozen=True):
@@ -170,6 +174,14 @@
     keys: dict[str, str]
     limits: CallerLimits = CallerLimits()
 
+    @property
+    def has_overload_control(self) -> bool:
+        """Whether requests are queued, rejected and placed by overload control.
+
+        A configuration asks for it by ranking at least one route highest.
+        """
+        return any(route.priority == HIGHEST_PRIORITY for route in self.routes)
+
 
 class TargetState(StrEnum):
     """State that a target reports of itself."""
--- a/currantmast/direct/targets.py
+++ b/currantmast/direct/targets.py
@@ -46,11 +46,24 @@
 
 
 class Load(msgspec.Struct, frozen=True):
-    """Load that a target reports: running and queued requests, and its slots."""
+    """Load that a target reports.
+
+    Parameters
+    ----------
+    running, waiting : int
+        Requests that it runs, and that it queues.
+    slots : int
+        Requests that it runs at the same time.
+    slowdown : float or None
+        Ratio of the time that work takes at this moment to the usual time; None when the
+        target doesn't report it. It changes within a second, as the target shares its
+        machine.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float | None = None
 
 
 class Ejection:
--- a/currantmast/platform/wire.py
+++ b/currantmast/platform/wire.py
@@ -46,6 +46,9 @@
 OWN_HEADERS = frozenset((API_KEY, TENANT, EXPECT_INSTANCE, DEADLINE_MS))
 MISDIRECTED = 421
 
+# Fields of a load that every target reports: running, waiting, slots.
+LOAD_FIELDS = 3
+
 
 def decode_request(inbound: InboundRequest) -> CallerRequest:
     """Return the steering-relevant fields of a caller's request."""
@@ -190,7 +193,14 @@
 
 
 def _find_load(text: str | None) -> Load | None:
-    fields = (text or '').split(',')
-    if len(fields) != 3 or not all(field.strip().isdigit() for field in fields):
+    """Return the load in a header: three numbers, and perhaps a slowdown in percent."""
+    fields = [field.strip() for field in (text or '').split(',')]
+    if len(fields) < LOAD_FIELDS or not all(map(_is_count, fields[:LOAD_FIELDS])):
         return None
-    return Load(*map(int, fields))
+    running, waiting, slots = map(int, fields[:LOAD_FIELDS])
+    percent = _parse_number(''.join(fields[LOAD_FIELDS : LOAD_FIELDS + 1]))
+    return Load(running, waiting, slots, percent / 100 if percent else None)
+
+
+def _is_count(text: str) -> bool:
+    return text.isascii() and text.isdigit()
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -130,6 +130,22 @@
     assert found.reason
 
 
+def test_downloads_may_be_repeated():
+    config = copy.deepcopy(CONFIG)
+    config['resources'][0]['spec']['type'] = 'download'
+    kind = decode_configuration('main', config).routes[0].kind
+    assert kind is WorkKind.download
+    assert kind.repeatable
+
+
+@pytest.mark.parametrize(('priority', 'expected'), [(0, True), (1, False)])
+def test_highest_priority_asks_for_overload_control(priority, expected):
+    config = copy.deepcopy(CONFIG)
+    config['resources'][0]['spec']['prio'] = priority
+    decoded = decode_configuration('main', config)
+    assert decoded.has_overload_control is expected
+
+
 def test_target_is_decoded():
     target = decode_target('i-1', SERVER)
     assert target.address == Address('10.1.0.9', 8080)
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -1,6 +1,9 @@
 """Encoding of requests and answers on the platform."""
 
+import pytest
+
 from currantmast.direct.answers import Answer
+from currantmast.direct.targets import Load
 from currantmast.platform import wire
 
 ECHO = ('X-Currantmast-Request-Id', 'q1')
@@ -29,3 +32,22 @@
     assert not wire.matches_request('q1', late)
     assert wire.matches_request('q1', own)
     assert wire.matches_request('q1', make_answer(503, refusal, ECHO))
+
+
+@pytest.mark.parametrize(
+    ('text', 'load'),
+    [
+        ('3,0,8', Load(3, 0, 8)),
+        ('3, 1, 8, 250', Load(3, 1, 8, 2.5)),
+        ('3,1,8,100,7,x', Load(3, 1, 8, 1)),
+        ('3,1,8,0', Load(3, 1, 8)),
+        ('3,1,8,nan', Load(3, 1, 8)),
+        ('3,1', None),
+        ('3,-1,8', None),
+        ('\u0663,1,8', None),
+        ('', None),
+    ],
+)
+def test_load_has_three_fields_or_more(text, load):
+    answer = make_answer(200, ('X-Currantmast-Server-Load', text))
+    assert wire.decode_answer(answer).load == load
