Refuse requests that crash the targets that run them

Change: requests on a target that accepts no connection after a break are suspected, members tell one another in heartbeats, and one that has seen three different targets crash, unanswered in between, is refused by all. Ruled out: breaks alone as evidence, since targets that lose answers break connections too; the exclusive run, which needs an idle target.

--- a/currantmast/direct/attempts.py
+++ b/currantmast/direct/attempts.py
@@ -58,6 +58,11 @@
     deadline_at: float
     objective_at: float
 
+    @property
+    def team_name(self) -> str:
+        """Name of the team; empty for none."""
+        return self.team.name if self.team else ''
+
     @property
     def object_key(self) -> str:
         """Object that the request has affinity for; empty for none."""
--- a/currantmast/direct/exchanges.py
+++ b/currantmast/direct/exchanges.py
@@ -212,6 +212,16 @@
                 sock.close()
         return answer
 
+    def try_connect(self, address: Address) -> None:
+        """Open a connection and close it again.
+
+        Raises
+        ------
+        NothingSent
+            If no connection could be opened.
+        """
+        self._open(address, CONNECT_TIMEOUT_S).close()
+
     def _open(self, address: Address, timeout_s: float) -> Socket:
         if timeout_s <= 0:
             raise NothingSent('no time left')
--- a/currantmast/direct/heartbeats.py
+++ b/currantmast/direct/heartbeats.py
@@ -176,6 +176,7 @@
             loads=keep_largest(state.targets.count_loads(), MAX_LOADS),
             target_limits=state.target_limits.make_report(),
             spillover=state.placement.spillover.make_report(),
+            crashes=state.targets.crashing_requests.make_report(),
         )
 
     def _send_to(self, peer: InstanceRecord, heartbeat: Heartbeat) -> None:
@@ -211,6 +212,7 @@
         if heartbeat.store is not None:
             state.store_health.note_peer(heartbeat.sender, heartbeat.store)
         self._note_limits(heartbeat)
+        state.targets.crashing_requests.note_peer(heartbeat.crashes)
         confirmation = heartbeat.confirmation
         local_incarnation = state.members.own.incarnation
         if (
--- a/currantmast/direct/reports.py
+++ b/currantmast/direct/reports.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from currantmast.clocks import Clock
+from currantmast.direct.crashes import CrashReport
 from currantmast.direct.demands import DemandReport
 from currantmast.direct.freshness import Confirmation
 from currantmast.direct.spillover import SpilloverReports
@@ -62,6 +63,8 @@
     target_limits : TargetLimitReport or None
         What the sender knows of targets with limits, and sends to them; left out of
         brief heartbeats.
+    crashes : dict of tuple of str
+        Targets that crashed while they ran a request, by its fingerprint.
     """
 
     sender: str
@@ -77,6 +80,7 @@
     brief: bool = False
     store: StoreContact | None = None
     target_limits: TargetLimitReport | None = None
+    crashes: CrashReport = {}
 
     @property
     def has_demand(self) -> bool:
--- a/currantmast/direct/steering.py
+++ b/currantmast/direct/steering.py
@@ -16,6 +16,7 @@
     get_reported_load,
 )
 from currantmast.direct.choices import Choice, NoCapacity
+from currantmast.direct.crashwatch import CrashWatch
 from currantmast.direct.exchanges import TargetConnections
 from currantmast.direct.inbound import InboundRequest, OutboundAnswer
 from currantmast.direct.instance_state import InstanceState
@@ -82,6 +83,7 @@
         self._connections = connections
         self._clock = clock
         self._meter = meter
+        self._crash_watch = CrashWatch(state.targets.crashing_requests, connections)
 
     def answer(self, inbound: InboundRequest) -> OutboundAnswer:
         """Return the answer to one request."""
@@ -89,6 +91,8 @@
         admission = self._admit(call, inbound.received_at)
         if isinstance(admission, OutboundAnswer):
             return admission
+        if self._crash_watch.is_refused(inbound, admission.team_name):
+            return self._refuse(call, Reason.quarantined, team=admission.team)
         attempts = Attempts(self._state, admission, self._clock)
         result = self._send_with_retries(inbound, admission, attempts)
         self._log_result(admission, attempts, result)
@@ -192,6 +196,9 @@
             return NotRun(Reason.unreachable)
         except ExchangeBroken as error:
             target.note_failure()
+            self._crash_watch.note_break(
+                inbound, admission.team_name, target.record, error
+            )
             self._log_oversize(admission, target, error)
             elapsed_s = self._clock.now() - started
             self._state.placement.note_served(admission.service, choice, elapsed_s)
@@ -199,6 +206,7 @@
             return OutcomeUnknown(_get_failure_reason(error))
         finally:
             target.in_flight -= 1
+        self._crash_watch.note_answer(inbound, admission.team_name)
         return self._process_answer(admission, choice, answer, started)
 
     def _log_oversize(
--- a/currantmast/direct/targets.py
+++ b/currantmast/direct/targets.py
@@ -7,6 +7,7 @@
 
 from currantmast.clocks import Clock
 from currantmast.direct.coldstart import ColdStart
+from currantmast.direct.crashes import CrashingRequests
 from currantmast.direct.listedruns import ListedRuns
 from currantmast.direct.model import TargetRecord, TargetState
 from currantmast.direct.notices import TargetNotices
@@ -296,7 +297,15 @@
         Source of time.
     """
 
-    __slots__ = ('_by_service', '_clock', '_targets', 'evacuated', 'notices', 'runs')
+    __slots__ = (
+        '_by_service',
+        '_clock',
+        '_targets',
+        'crashing_requests',
+        'evacuated',
+        'notices',
+        'runs',
+    )
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
@@ -305,6 +314,7 @@
         self.evacuated: frozenset[str] = frozenset()
         self.notices = TargetNotices(clock)
         self.runs = ListedRuns(clock)
+        self.crashing_requests = CrashingRequests(clock)
 
     def __len__(self) -> int:
         """Return the number of targets."""
