Leave the wait for a processor out of how long tasks are blocked

Cause: the endless tests compared the whole elapsed time between two turns of the loop with their bound, also the time in which the machine gave the thread no processor. Change: the bound of 0.1 s stands, on elapsed time less the run-queue wait; the longest block is picked by the same figure, so a held loop still counts from its first millisecond.

--- a/tests/test_direct_endless.py
+++ b/tests/test_direct_endless.py
@@ -50,6 +50,13 @@
     # In the collection of garbage.
     collecting_s: float = 0
 
+    def measure_held(self):
+        """Return for how long the thread itself kept the other tasks from running.
+
+        While it waits for a processor, no code of it could let them run.
+        """
+        return self.elapsed_s - self.queued_s
+
 
 class Meter:
     """Readings from which a block is computed; a context manager."""
@@ -96,12 +103,12 @@
                 now = meter.read()
                 block = Block(*map(operator.sub, now, last))
                 block = block._replace(elapsed_s=block.elapsed_s - TICK_S)
-                self.longest = max(self.longest, block)
+                self.longest = max(self.longest, block, key=Block.measure_held)
                 last = now
                 self.memory = max(self.memory, measure_memory())
 
     def check(self):
-        assert self.longest.elapsed_s <= MAX_BLOCKED_S, self.longest
+        assert self.longest.measure_held() <= MAX_BLOCKED_S, self.longest
         assert self.memory - self.before <= MAX_GROWTH_BYTES
 
 
