Read answers while the request is written, and reject odd statuses

Cause: a request was written to its end before its answer was read, and a failed write was passed over; it had taken the error of the connection, so the next read saw an orderly end, and an answer without a length counted as whole. The client's own exchange had the same path. Statuses of 600 and above were delivered; 000 and 099 were taken for interim answers. Change: RequestWriter writes what the socket takes and leaves the rest to a task. An answer without a length is whole only after an orderly end with the whole request written and acknowledged. A failed early answer is delivered at once and ends the connection; after an early success the rest is written as long as the target takes it. A status outside 200 to 599 ends the exchange (502). 204 and 304 end with their head. Hops read an answer after a failed write. No existing test was changed.

--- a/currantmast/direct/answers.py
+++ b/currantmast/direct/answers.py
@@ -1,12 +1,19 @@
 """Answers from targets, and a parser that finds the one to a given request."""
 
 from collections.abc import Callable
+from http import HTTPStatus
 
 import httptools
 import msgspec
 
 from currantmast.direct.inbound import CONNECTION_HEADERS
-from currantmast.errors import AnswerIncomplete, AnswerTooLarge, ExchangeBroken
+from currantmast.errors import (
+    AnswerIncomplete,
+    AnswerTooLarge,
+    ExchangeBroken,
+    StatusInvalid,
+)
+from currantmast.statuses import FINAL_STATUSES, INTERIM_STATUSES
 
 # Longest time for which an idle connection is kept. If the target announces a keep-alive
 # timeout, only this fraction of it is used, since a target may close the connection just
@@ -26,7 +33,8 @@
 # Body bytes that all exchanges of a process may buffer at the same time.
 MAX_BUFFERED_BYTES = 24 * 1024 * 1024
 
-FIRST_FINAL_STATUS = 200
+# Statuses of answers that have no body, whatever their headers say.
+BODILESS_STATUSES = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 
 
 class Answer(msgspec.Struct, frozen=True):
@@ -131,6 +139,8 @@
         ------
         AnswerTooLarge
             If the exchange exceeds one of its limits.
+        StatusInvalid
+            If an answer has a status outside the range of answers.
         ExchangeBroken
             If the bytes are not valid HTTP.
         """
@@ -199,11 +209,16 @@
         self._headers.append((name.decode('latin-1'), value.decode('latin-1')))
 
     def on_headers_complete(self) -> None:
-        """Read the keep-alive timeout from the headers."""
+        """Check the status, and read the keep-alive timeout from the headers."""
         self._head_complete = True
+        status = self._parser.get_status_code()
+        if status not in INTERIM_STATUSES and status not in FINAL_STATUSES:
+            raise StatusInvalid(status)
         for name, text in self._headers:
             if name.lower() == 'keep-alive':
                 self._read_keep_alive(text)
+        if status in BODILESS_STATUSES:
+            self._keep_answer(status)
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
@@ -221,9 +236,12 @@
         self._head_complete = False
         status = self._parser.get_status_code()
         self._keep_alive = self._parser.should_keep_alive()
-        if status < FIRST_FINAL_STATUS:
+        if status in INTERIM_STATUSES:
             self._count_interim()
-            return
+        elif status not in BODILESS_STATUSES:
+            self._keep_answer(status)
+
+    def _keep_answer(self, status: int) -> None:
         if self.answer is not None:
             return
         headers = tuple(
@@ -261,6 +279,6 @@
 def _unwrap_error(error: httptools.HttpParserError) -> ExchangeBroken:
     """Return the error that a callback raised, or a new one for a parser error."""
     cause = error.__context__
-    if isinstance(cause, AnswerTooLarge):
+    if isinstance(cause, ExchangeBroken):
         return cause
     return ExchangeBroken(f'{type(error).__name__}: {error}')
--- a/currantmast/direct/exchanges.py
+++ b/currantmast/direct/exchanges.py
@@ -23,11 +23,13 @@
 )
 from currantmast.direct.sockets import is_readable
 from currantmast.errors import (
+    AnswerIncomplete,
     ExchangeBroken,
     NothingSent,
     ProgressTimeout,
 )
 from currantmast.messages import Address
+from currantmast.writers import RequestWriter
 
 CHUNK_BYTES = 65_536
 CONNECT_TIMEOUT_S = 0.4
@@ -35,6 +37,9 @@
 # Longest time in seconds between two parts of an answer that may exceed its timeout.
 STALL_TIMEOUT_S = 0.6
 
+# Lowest status of an answer that wants no more of the request's body.
+FIRST_FAILED_STATUS = 400
+
 # Shortest timeout in seconds of a socket; 0 would make it non-blocking.
 MIN_TIMEOUT_S = 0.001
 
@@ -78,12 +83,14 @@
         Seconds by which it may end later, as long as its bytes keep arriving.
     """
 
-    __slots__ = ('_at', '_clock', '_last')
+    __slots__ = ('_at', '_clock', '_last', 'extends', 'longest_s')
 
     def __init__(self, clock: Clock, timeout_s: float, transfer_s: float) -> None:
         self._clock = clock
         self._at = clock.now() + timeout_s
         self._last = self._at + transfer_s
+        self.extends = transfer_s > 0
+        self.longest_s = timeout_s + transfer_s
 
     def __repr__(self) -> str:
         """Return a short description for debugging."""
@@ -197,11 +204,11 @@
         reusable = False
         left_s = timeout_s - (self._clock.now() - started)
         deadline = _Deadline(self._clock, left_s, request.transfer_s)
-        longest_s = left_s + request.transfer_s
         try:
-            with gevent.Timeout(longest_s, ProgressTimeout('no answer')):
-                answer = _send_and_receive(sock, request, reader, deadline)
-            reusable = reader.is_reusable()
+            writer = RequestWriter(sock, encode_request(request))
+            with writer:
+                answer = _converse(sock, reader, writer, deadline)
+            reusable = writer.is_written() and reader.is_reusable()
         except OSError as error:
             raise ExchangeBroken(f'{type(error).__name__}: {error}') from error
         finally:
@@ -239,23 +246,30 @@
             idle_sockets.popleft().sock.close()
 
 
-def _send_and_receive(
-    sock: Socket, request: TargetRequest, reader: AnswerReader, deadline: _Deadline
+def _converse(
+    sock: Socket, reader: AnswerReader, writer: RequestWriter, deadline: _Deadline
+) -> Answer:
+    with gevent.Timeout(deadline.longest_s, ProgressTimeout('no answer')):
+        answer = _receive_answer(sock, reader, writer, deadline)
+    if answer.status < FIRST_FAILED_STATUS:
+        # A target that accepts early may read the rest of the body later.
+        writer.finish(STALL_TIMEOUT_S, deadline.left_s())
+    return answer
+
+
+def _receive_answer(
+    sock: Socket, reader: AnswerReader, writer: RequestWriter, deadline: _Deadline
 ) -> Answer:
     sock.settimeout(None)
-    try:
-        sock.sendall(encode_request(request))
-    except ConnectionError:
-        # A target may answer and close before it has read the whole body, so the
-        # answer may still be readable.
-        gevent.sleep(0)
     unyielded_bytes = 0
     while reader.answer is None:
-        received = _receive(sock, request, deadline)
+        received = _receive(sock, deadline)
         if received:
             reader.feed(received)
-        else:
+        elif writer.is_received():
             reader.finish()
+        else:
+            raise AnswerIncomplete('the connection ended before the request')
         unyielded_bytes += len(received)
         if unyielded_bytes >= YIELD_BYTES:
             # `recv` doesn't yield while bytes are available, so no timer could fire.
@@ -264,8 +278,8 @@
     return reader.answer
 
 
-def _receive(sock: Socket, request: TargetRequest, deadline: _Deadline) -> bytes:
-    if not request.transfer_s:
+def _receive(sock: Socket, deadline: _Deadline) -> bytes:
+    if not deadline.extends:
         return sock.recv(CHUNK_BYTES)
     sock.settimeout(max(MIN_TIMEOUT_S, deadline.left_s()))
     try:
--- a/currantmast/errors.py
+++ b/currantmast/errors.py
@@ -163,6 +163,20 @@
         super().__init__(f'too large: {kind}')
 
 
+class StatusInvalid(AnswerIncomplete):
+    """An answer has a status that no answer may have, so it isn't one.
+
+    Parameters
+    ----------
+    status : int
+        The status.
+    """
+
+    def __init__(self, status: int) -> None:
+        self.status = status
+        super().__init__(f'status {status:03d}')
+
+
 class ProgressTimeout(ExchangeBroken):
     """The other end made no progress for longer than the hop allows."""
 
--- a/currantmast/exchange.py
+++ b/currantmast/exchange.py
@@ -8,6 +8,7 @@
 import msgspec
 from gevent import Timeout, socket
 from geventhttpclient.client import HTTPClient
+from geventhttpclient.connectionpool import ConnectionPool
 from geventhttpclient.response import HTTPParseError, HTTPSocketPoolResponse
 
 from currantmast.errors import (
@@ -15,8 +16,11 @@
     ExchangeBroken,
     NothingSent,
     ProgressTimeout,
+    StatusInvalid,
     TransportError,
 )
+from currantmast.statuses import FINAL_STATUSES
+from currantmast.writers import RequestWriter
 
 BLOCK_BYTES = 65_536
 
@@ -70,15 +74,11 @@
             body=request.body,
             headers=request.headers,
         )
-        try:
-            connection.sendall(head.encode('latin-1') + request.body)
-        except ConnectionError:
-            # The other end may have answered early and closed: its answer is read below.
-            return self._read_head(connection, request.method)
-        except BaseException:
-            self._connection_pool.release_socket(connection)
-            raise
-        return self._read_head(connection, request.method)
+        writer = RequestWriter(connection, head.encode('latin-1') + request.body)
+        writer.start()
+        return _WatchedResponse(
+            connection, self._connection_pool, writer, request.method
+        )
 
     def _open_connection(self) -> socket.socket:
         try:
@@ -86,15 +86,35 @@
         except (OSError, RuntimeError) as error:
             raise NothingSent(f'{self.host}:{self.port}: {error}') from error
 
-    def _read_head(
-        self, connection: socket.socket, method: str
-    ) -> HTTPSocketPoolResponse:
-        return HTTPSocketPoolResponse(
-            connection,
-            self._connection_pool,
-            block_size=BLOCK_BYTES,
-            method=method,
-        )
+
+class _WatchedResponse(HTTPSocketPoolResponse):
+    """Response that is read while its request is still written."""
+
+    def __init__(
+        self,
+        connection: socket.socket,
+        pool: ConnectionPool,
+        writer: RequestWriter,
+        method: str,
+    ) -> None:
+        self._writer = writer
+        super().__init__(connection, pool, block_size=BLOCK_BYTES, method=method)
+
+    def feed(self, data: bytes) -> None:
+        """Parse received bytes; none at the end of the connection.
+
+        Raises
+        ------
+        AnswerIncomplete
+            If the connection ended before the other end had the whole request.
+        """
+        if not data and not self._writer.is_received():
+            raise AnswerIncomplete('the connection ended before the request')
+        super().feed(data)
+
+    def should_close(self) -> bool:
+        """Return whether the connection can't carry another request."""
+        return not self._writer.is_written() or super().should_close()
 
 
 def exchange(client: SingleSendClient, request: Request, timeout_s: float) -> Response:
@@ -116,7 +136,8 @@
     ProgressTimeout
         If the exchange did not end in time.
     AnswerIncomplete
-        If the response ended before its announced length.
+        If the response ended before its announced length, its connection ended before the
+        request was written, or its status is none of an answer.
     ExchangeBroken
         If the connection broke after bytes may have left.
     """
@@ -141,5 +162,7 @@
         raise AnswerIncomplete(f'{len(body)} of {announced} bytes')
     if announced is not None and announced != len(body):
         raise AnswerIncomplete(f'{len(body)} of {announced} bytes')
+    if response.status_code not in FINAL_STATUSES:
+        raise StatusInvalid(response.status_code)
     headers = {name.lower(): str(value) for name, value in response.items()}
     return Response(response.status_code, headers, body)
--- a/currantmast/runtime/forwarding.py
+++ b/currantmast/runtime/forwarding.py
@@ -18,8 +18,10 @@
     ExchangeBroken,
     NothingSent,
     ProgressTimeout,
+    StatusInvalid,
 )
 from currantmast.messages import Address
+from currantmast.statuses import FINAL_STATUSES
 
 CHUNK_BYTES = 65_536
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
@@ -139,8 +141,11 @@
                 # carry another request.
                 return _read_answer(sock, request.method, refusal, body_sent=False)
             head = b''
-        _send_body(sock, head, request)
-        return _read_answer(sock, request.method, early or b'', body_sent=True)
+        written = _send_body(sock, head, request)
+        answer, reusable = _read_answer(
+            sock, request.method, early or b'', body_sent=True
+        )
+        return answer, reusable and written
 
     def _build_head(self, request: HopRequest) -> bytes:
         headers = dict(request.headers)
@@ -211,14 +216,23 @@
             raise
 
 
-def _send_body(sock: Socket, head: bytes, request: HopRequest) -> None:
+def _send_body(sock: Socket, head: bytes, request: HopRequest) -> bool:
+    """Return whether everything was written."""
     if isinstance(request.body, bytes):
-        sock.sendall(head + request.body)
-        return
-    if head:
-        sock.sendall(head)
-    for chunk in request.body:
-        sock.sendall(chunk)
+        return _send(sock, head + request.body)
+    if head and not _send(sock, head):
+        return False
+    return all(_send(sock, chunk) for chunk in request.body)
+
+
+def _send(sock: Socket, data: bytes) -> bool:
+    try:
+        sock.sendall(data)
+    except ConnectionError:
+        # The other end may have answered before it closed. Only a framed answer counts
+        # as whole, so one that was cut isn't taken for one.
+        return False
+    return True
 
 
 def _read_answer(
@@ -232,6 +246,8 @@
         received += _feed_block(answer, sock)
         if received > MAX_ANSWER_BYTES:
             raise AnswerIncomplete(f'the answer is over {MAX_ANSWER_BYTES} bytes')
+    if answer.status_code not in FINAL_STATUSES:
+        raise StatusInvalid(answer.status_code)
     headers = tuple(
         (name, text) for name, text in answer.items() if name.lower() not in HOP_HEADERS
     )
