Clear a suspected request only when a target has run it

Cause: an answer that says that the request hasn't run cleared it as well. Change: only what isn't a 'not run' clears.

--- a/currantmast/direct/steering.py
+++ b/currantmast/direct/steering.py
@@ -206,8 +206,10 @@
             return OutcomeUnknown(_get_failure_reason(error))
         finally:
             target.in_flight -= 1
-        self._crash_watch.note_answer(inbound, admission.team_name)
-        return self._process_answer(admission, choice, answer, started)
+        result = self._process_answer(admission, choice, answer, started)
+        if not isinstance(result, NotRun):
+            self._crash_watch.note_answer(inbound, admission.team_name)
+        return result
 
     def _log_oversize(
         self, admission: Admission, target: Target, error: ExchangeBroken
