Put a configuration in force without its unreadable entries

Cause: one route of an unknown kind, or one odd entry, rejected the whole document, so a change never came into force and a new instance served nothing. An entry that can't be decoded is left out; each is logged with path and reason when the version comes into force, and counted in the gauge configuration_entries_unreadable. A route whose place can be read refuses its requests (503, entry_unreadable, not run); so do the readable keys of an unreadable team. Text that the JSON decoder rejects spoils only the field that holds it.

--- a/currantmast/direct/configurations.py
+++ b/currantmast/direct/configurations.py
@@ -114,3 +114,7 @@
         if self.value is None:
             return None
         return self.value.teams.get(self.value.keys.get(key, ''))
+
+    def refuses_key(self, key: str) -> bool:
+        """Return whether `key` belongs to a team that can't be read."""
+        return self.value is not None and key in self.value.refused_keys
--- a/currantmast/direct/instance_state.py
+++ b/currantmast/direct/instance_state.py
@@ -158,6 +158,7 @@
         if self._state.configuration.adopt(value):
             self._state.rate_limiter.replace_limits(value.teams.values())
             log_event('configuration_in_force', version=value.version)
+            _log_faults(value)
         elif value.version < self._state.configuration.version:
             log_event('configuration_ignored', version=value.version)
 
@@ -165,6 +166,18 @@
         """Keep the configuration in force although the store has none."""
 
 
+def _log_faults(configuration: Configuration) -> None:
+    for fault in configuration.faults:
+        log_event(
+            'configuration_entry_unreadable',
+            level='WARNING',
+            version=configuration.version,
+            path=fault.path,
+            name=fault.name,
+            reason=fault.reason,
+        )
+
+
 class TargetSubscriber:
     """Keeps the table of targets, and closes idle connections to earlier runs."""
 
--- a/currantmast/direct/queries.py
+++ b/currantmast/direct/queries.py
@@ -56,9 +56,11 @@
     def answer_metrics(self, inbound: InboundRequest) -> OutboundAnswer:
         """Return all metrics in the Prometheus text format."""
         state = self._state
+        config = state.configuration.value
         gauges = {
             'configuration_version': state.configuration.version,
             'configuration_version_of_peers': state.freshness.newest_version,
+            'configuration_entries_unreadable': len(config.faults) if config else 0,
             'configuration_age_seconds': state.freshness.age(),
             'targets_age_seconds': state.store_health.read_times.age(Topic.targets),
             'evacuations_age_seconds': state.store_health.read_times.age(
--- a/currantmast/direct/steering.py
+++ b/currantmast/direct/steering.py
@@ -103,26 +103,37 @@
             return self._refuse(call, Reason.no_configuration, BOOT_RETRY_AFTER_S)
         if not call.request_id:
             return self._refuse(call, Reason.bad_request)
-        route = state.configuration.match(call.host.partition(':')[0], call.path)
-        if route is None:
-            return self._refuse(call, Reason.service_unknown)
+        route = self._match(call)
+        if isinstance(route, OutboundAnswer):
+            return route
         deadline_at = _find_deadline(call, route, received_at)
         services = (weighted.service for weighted in route.weighted_services)
         if not state.stop.may_finish(services, received_at, deadline_at):
             # Before the team's rate is used, as the request will come elsewhere.
             return self._refuse(call, Reason.stopping, MIN_RETRY_AFTER_S)
         team = None
-        if config.teams and not route.keyless:
+        if config.requires_keys and not route.keyless:
             found = self._admit_team(call)
             if isinstance(found, OutboundAnswer):
                 return found
             team = found
         return self._make_admission(call, route, team, received_at)
 
+    def _match(self, call: CallerRequest) -> Route | OutboundAnswer:
+        host = call.host.partition(':')[0]
+        route = self._state.configuration.match(host, call.path)
+        if route is None:
+            return self._refuse(call, Reason.service_unknown)
+        if not route.is_readable:
+            return self._refuse(call, Reason.entry_unreadable, BOOT_RETRY_AFTER_S)
+        return route
+
     def _admit_team(self, call: CallerRequest) -> Team | OutboundAnswer:
         state = self._state
         if not state.has_lease():
             return self._refuse(call, Reason.no_lease, BOOT_RETRY_AFTER_S)
+        if state.configuration.refuses_key(call.key or ''):
+            return self._refuse(call, Reason.entry_unreadable, BOOT_RETRY_AFTER_S)
         team = state.configuration.find_team(call.key or '')
         if team is None:
             return self._refuse(call, Reason.key_unknown)
--- a/currantmast/outcomes.py
+++ b/currantmast/outcomes.py
@@ -18,6 +18,7 @@
     no_lease = 'no_lease'
     not_member = 'not_member'
     no_configuration = 'no_configuration'
+    entry_unreadable = 'entry_unreadable'
     not_owner = 'not_owner'
     no_capacity = 'no_capacity'
     stopping = 'stopping'
--- a/currantmast/platform/pages.py
+++ b/currantmast/platform/pages.py
@@ -12,7 +12,7 @@
 from currantmast.direct.updates import Entry, InvalidEntry, Topic
 from currantmast.errors import StoreUnavailable
 from currantmast.platform.documents import DECODERS
-from currantmast.platform.pruning import isolate_json, prune_json
+from currantmast.platform.pruning import isolate_json, prune_json, salvage_json
 from currantmast.runtime.logs import log_event
 
 
@@ -152,5 +152,8 @@
     try:
         decoded = msgspec.json.decode(spec)
     except (msgspec.MsgspecError, RecursionError) as error:
-        return InvalidEntry(str(error))
+        if topic is not Topic.configuration:
+            return InvalidEntry(str(error))
+        # One entry of it must not keep the others from being in force.
+        decoded = salvage_json(bytes(spec))
     return DECODERS[topic](name, decoded)
--- a/currantmast/platform/pruning.py
+++ b/currantmast/platform/pruning.py
@@ -1,6 +1,7 @@
 """Repair of JSON that a decoder rejects whole because of one part of it."""
 
 import re
+from typing import Any
 
 import msgspec
 
@@ -16,6 +17,11 @@
     rb'(?P<text>"(?:[^"\\]++|\\.)*+")(?P<colon>\s*:)?|[^\s\[\]{},:"]++', re.DOTALL
 )
 
+# Stands for a value that can't be decoded; no type accepts it.
+UNDECODABLE = object()
+
+_Parts = dict[str, msgspec.Raw] | list[msgspec.Raw]
+
 # Valid JSON that can be skipped, but not decoded: no number is so large.
 _UNDECODABLE = b'1e999'
 
@@ -63,6 +69,34 @@
     return _SCALARS.sub(_replace_undecodable, body)
 
 
+def salvage_json(body: bytes) -> Any:
+    """Return what can be decoded of a JSON text, and `UNDECODABLE` in place of the rest.
+
+    Parameters
+    ----------
+    body : bytes
+        The JSON text.
+    """
+    return _salvage(isolate_json(prune_json(body)))
+
+
+def _salvage(text: bytes | msgspec.Raw) -> Any:
+    try:
+        return msgspec.json.decode(text)
+    except msgspec.MsgspecError:
+        return _salvage_parts(text)
+
+
+def _salvage_parts(text: bytes | msgspec.Raw) -> Any:
+    try:
+        parts = msgspec.json.decode(text, type=_Parts)
+    except msgspec.MsgspecError:
+        return UNDECODABLE
+    if isinstance(parts, dict):
+        return {name: _salvage(part) for name, part in parts.items()}
+    return [_salvage(part) for part in parts]
+
+
 def _replace_undecodable(scalar: re.Match[bytes]) -> bytes:
     if _is_decodable(scalar['text'] or scalar[0]):
         return scalar[0]
--- a/currantmast/standins/platformfleet.py
+++ b/currantmast/standins/platformfleet.py
@@ -119,6 +119,8 @@
         self.work = work
         self.version = 1
         self.keys = {team: [key] for team, key in KEYS.items()}
+        # Entries of the configuration beside the usual ones.
+        self.more_resources: list[Any] = []
         self.ran: Counter[str] = Counter()
         self.tally = Tally()
         self.instances: dict[str, Process] = {}
@@ -174,6 +176,7 @@
             }
             for team, keys in self.keys.items()
         ]
+        resources += self.more_resources
         spec = {'version': f'{self.version:08x}', 'resources': resources}
         self.store.put('config', 'main', spec)
         self.version += 1
--- a/tests/integration/test_platform.py
+++ b/tests/integration/test_platform.py
@@ -9,7 +9,7 @@
 
 from currantmast.direct.model import Bounds
 from currantmast.experiment.usage import read_memory_mb
-from currantmast.standins.platformfleet import KEYS, PlatformFleet
+from currantmast.standins.platformfleet import HOST, KEYS, PlatformFleet
 from currantmast.standins.shaping import LinkFaults
 
 RATE = 60
@@ -142,6 +142,32 @@
     assert gone == len(left)
 
 
+def test_odd_entries_of_a_configuration_leave_the_others_in_force(fleet):
+    """Guards against a fleet that serves nothing because of one entry."""
+    written = {
+        name: len(known.read_output()) for name, known in fleet.instances.items()
+    }
+    fleet.more_resources = [
+        None,
+        {'res_kind': 'tenants', 'meta': {'name': 'odd'}, 'spec': {'api_keys': 7}},
+        {
+            'res_kind': 'routes',
+            'meta': {'name': 'odd'},
+            'spec': {'host': HOST, 'path_prefix': '/look/1/', 'type': 'idempotent'},
+        },
+    ]
+    fleet.publish()
+    gevent.sleep(1)
+    tally = fleet.load(RATE, 2)
+    for name, known in fleet.instances.items():
+        news = known.read_output()[written[name] :]
+        assert news.count('event=configuration_entry_unreadable') == 3
+    fleet.more_resources = []
+    fleet.publish()
+    gevent.sleep(1)
+    assert count_failed(tally) == 0
+
+
 def test_targets_that_send_without_end_cost_nobody_else(fleet):
     """Guards against a target whose bytes starve an instance or fill its memory."""
     forms = ('header lines', 'interim answers', 'body without length')
--- a/tests/test_direct_steering.py
+++ b/tests/test_direct_steering.py
@@ -1,15 +1,17 @@
 """Handling of one request: its targets, its retries and the answer to the caller."""
 
+import msgspec
 import pytest
 
 from currantmast.clocks import ManualClock
 from currantmast.direct.answers import Answer
 from currantmast.direct.inbound import InboundRequest
-from currantmast.direct.instance_state import InstanceState
+from currantmast.direct.instance_state import ConfigurationSubscriber, InstanceState
 from currantmast.direct.meters import Meter
 from currantmast.direct.model import (
     Bounds,
     Configuration,
+    EntryFault,
     InstanceRecord,
     Location,
     Route,
@@ -20,6 +22,7 @@
     WeightedService,
     WorkKind,
 )
+from currantmast.direct.queries import Queries
 from currantmast.direct.steering import Steering
 from currantmast.errors import (
     AnswerIncomplete,
@@ -264,3 +267,42 @@
         harness.state.freshness.confirm(harness.clock.now())
     worst = max(sum(sent[at : at + 20]) for at in range(80))
     assert 1 <= worst <= 2 * bounds.cold_factor + bounds.cold_extra
+
+
+def make_odd_harness(**changes):
+    harness = SteeringHarness(OK)
+    config = make_configuration(make_route(), 2)
+    short_route = msgspec.structs.replace(make_route(), prefix='/')
+    routes = (short_route, make_route(keyless=True, is_readable=False))
+    fields = {'routes': routes, 'refused_keys': frozenset(('k2',)), **changes}
+    fields['faults'] = (EntryFault('resources[1]', 'odd', 'why'),)
+    subscriber = ConfigurationSubscriber(harness.state)
+    subscriber.put('main', msgspec.structs.replace(config, **fields))
+    return harness
+
+
+def test_unreadable_route_refuses_and_no_shorter_prefix_gets_its_requests(capsys):
+    """Guards against requests that run by the route of a shorter prefix."""
+    harness = make_odd_harness()
+    answer = harness.ask()
+    assert (answer.status, answer.body) == (503, b'entry_unreadable\n')
+    assert not harness.connections.sent
+    assert 'event=configuration_entry_unreadable' in capsys.readouterr().err
+    metrics = Queries(harness.state, wire, Meter()).answer_metrics(None).body
+    assert b'name="configuration_entries_unreadable"} 1.0' in metrics
+
+
+@pytest.mark.parametrize(('key', 'status'), [('k1', 200), ('k2', 503), ('k3', 401)])
+def test_key_of_an_unreadable_team_is_refused_but_not_unknown(key, status):
+    harness = make_odd_harness(routes=(make_route(),))
+    assert harness.ask(key).status == status
+
+
+@pytest.mark.parametrize(('key', 'status'), [(None, 401), ('k2', 503)])
+def test_unreadable_teams_open_no_route(key, status):
+    """Guards against requests that need no key as no team could be read."""
+    harness = make_odd_harness(
+        routes=(make_route(),), teams={}, keys={}, has_unreadable_team=True
+    )
+    assert harness.ask(key).status == status
+    assert not harness.connections.sent
