Check, compare and explain configurations before they are sent

Cause: a document with an odd, shadowed or contradictory entry was only noticed once it was in force. Change: config check, config diff and routes explain. The checks, differences and explanations are modules without I/O that use the instances' decoder; the commands read files or the store. Not built: limits against the retry budget and the grace time, which are not in the document. No check compares entries pairwise; regions are compared by distinct sets. Tests: test_platform_findings, each finding with a document that shows it and documents that don't; test_platform_documents, test_platform_store, test_commands and test_boundary passed.

--- a/currantmast/commands/__init__.py
+++ b/currantmast/commands/__init__.py
@@ -23,7 +23,7 @@
 class Commands:
     """Operate a currantmast fleet.
 
-    Exit codes: 0 done; 2 bad input; 3 stored, but not in force everywhere; 4 another
+    Exit codes: 0 done; 1 a check found something; 2 bad input; 3 stored, but not in force everywhere; 4 another
     operator changed the configuration first; 5 the store or an instance is
     unreachable; 70 a task of an instance failed.
     """
@@ -33,6 +33,16 @@
         self.key = KeyCommands()
         self.standin = processes.StandinCommands()
 
+    @property
+    def config(self) -> Any:
+        """Check and compare configuration documents of the users' platform."""
+        return processes.load('currantmast.commands.configurations', 'ConfigCommands')()
+
+    @property
+    def routes(self) -> Any:
+        """Explain the routes of a configuration document."""
+        return processes.load('currantmast.commands.configurations', 'RouteCommands')()
+
     @property
     def experiment(self) -> Any:
         """Run a fleet of local processes under load."""
--- a/currantmast/platform/configurations.py
+++ b/currantmast/platform/configurations.py
@@ -106,6 +106,13 @@
     spec: _LimitsSpec
 
 
+class DecodedTeam(msgspec.Struct, frozen=True):
+    """A team, and its API keys, which are never logged or shown."""
+
+    team: Team
+    keys: tuple[str, ...]
+
+
 def build_configuration(spec: Any) -> Configuration:
     """Return the configuration in a decoded document.
 
@@ -162,12 +169,11 @@
 
     def read_route(self, path: str, resource: Any) -> None:
         """Add a route."""
-        entry = msgspec.convert(resource, _RouteEntry)
-        kind = _find_kind(entry.spec.type)
-        self.routes.append(_build_route(entry, kind or WorkKind.non_idempotent))
-        if kind is None:
+        route = decode_route(resource)
+        self.routes.append(route)
+        if _find_kind(resource['spec']['type']) is None:
             reason = 'unknown type, never repeated'
-            self.faults.append(EntryFault(f'{path}.spec.type', entry.meta.name, reason))
+            self.faults.append(EntryFault(f'{path}.spec.type', route.name, reason))
 
     def keep_route(self, spec: Any) -> None:
         """Refuse what an unreadable route matches, so that no shorter prefix gets it."""
@@ -178,21 +184,15 @@
 
     def read_service(self, path: str, resource: Any) -> None:
         """Add a service."""
-        entry = msgspec.convert(resource, _ServiceEntry)
-        spec = entry.spec
-        name = entry.meta.name
-        self.services[name] = Service(
-            name, spec.health_path, spec.max_conns, spec.cold_s, spec.cold_per_s
-        )
+        service = decode_service(resource)
+        self.services[service.name] = service
 
     def read_team(self, path: str, resource: Any) -> None:
         """Add a team and its keys."""
-        entry = msgspec.convert(resource, _TenantEntry)
-        spec = entry.spec
-        name = entry.meta.name
-        homes = frozenset(spec.home_regions)
-        self.teams[name] = Team(name, spec.rate_per_s, spec.burst, homes, spec.prio)
-        self.keys.update(dict.fromkeys(spec.api_keys, name))
+        decoded = decode_team(resource)
+        name = decoded.team.name
+        self.teams[name] = decoded.team
+        self.keys.update(dict.fromkeys(decoded.keys, name))
 
     def keep_team(self, spec: Any) -> None:
         """Refuse the readable keys of an unreadable team."""
@@ -203,13 +203,7 @@
 
     def read_limits(self, path: str, resource: Any) -> None:
         """Replace the limits of callers' requests."""
-        spec = msgspec.convert(resource, _LimitsEntry).spec
-        self.limits = CallerLimits(
-            spec.max_header_bytes,
-            spec.max_body_bytes,
-            spec.header_timeout_s,
-            spec.idle_s,
-        )
+        self.limits = decode_limits(resource)
 
     def reset_limits(self, spec: Any) -> None:
         """Use the default limits."""
@@ -251,7 +245,15 @@
         return None
 
 
-def _build_route(entry: _RouteEntry, kind: WorkKind) -> Route:
+def decode_route(resource: Any) -> Route:
+    """Return the route in an entry; one of an unknown type is never repeated.
+
+    Raises
+    ------
+    ValidationError, ValueError
+        If the entry can't be decoded.
+    """
+    entry = msgspec.convert(resource, _RouteEntry)
     spec = entry.spec
     weighted_services = tuple(_list_services(spec))
     if not weighted_services:
@@ -260,7 +262,7 @@
         name=entry.meta.name,
         host=spec.host.lower(),
         prefix=spec.path_prefix,
-        kind=kind,
+        kind=_find_kind(spec.type) or WorkKind.non_idempotent,
         weighted_services=weighted_services,
         timeout_s=spec.timeout_s,
         latency_objective_s=spec.target_latency_s or spec.timeout_s,
@@ -272,6 +274,57 @@
     )
 
 
+def decode_service(resource: Any) -> Service:
+    """Return the service in an entry.
+
+    Raises
+    ------
+    ValidationError
+        If the entry can't be decoded.
+    """
+    entry = msgspec.convert(resource, _ServiceEntry)
+    spec = entry.spec
+    return Service(
+        entry.meta.name,
+        spec.health_path,
+        spec.max_conns,
+        spec.cold_s,
+        spec.cold_per_s,
+    )
+
+
+def decode_team(resource: Any) -> DecodedTeam:
+    """Return the team in an entry.
+
+    Raises
+    ------
+    ValidationError
+        If the entry can't be decoded.
+    """
+    entry = msgspec.convert(resource, _TenantEntry)
+    spec = entry.spec
+    homes = frozenset(spec.home_regions)
+    team = Team(entry.meta.name, spec.rate_per_s, spec.burst, homes, spec.prio)
+    return DecodedTeam(team, tuple(spec.api_keys))
+
+
+def decode_limits(resource: Any) -> CallerLimits:
+    """Return the limits of callers' requests in an entry.
+
+    Raises
+    ------
+    ValidationError
+        If the entry can't be decoded.
+    """
+    spec = msgspec.convert(resource, _LimitsEntry).spec
+    return CallerLimits(
+        spec.max_header_bytes,
+        spec.max_body_bytes,
+        spec.header_timeout_s,
+        spec.idle_s,
+    )
+
+
 def _list_services(spec: _RouteSpec) -> Iterator[WeightedService]:
     weighted = [backend for backend in spec.backends if backend.weight > 0]
     for backend in weighted:
--- a/currantmast/platform/store.py
+++ b/currantmast/platform/store.py
@@ -19,7 +19,7 @@
     WatchExpired,
 )
 from currantmast.messages import Address
-from currantmast.platform.documents import encode_instance
+from currantmast.platform.documents import CONFIGURATION_NAME, encode_instance
 from currantmast.platform.pages import (
     Page,
     decode_events,
@@ -120,6 +120,19 @@
             raise WatchExpired(f'{topic.value}: {position} is of another era')
         return StoreUpdate(newest, decode_events(topic, page))
 
+    def read_configuration(self) -> bytes:
+        """Return the stored object that holds the configuration, as JSON.
+
+        Raises
+        ------
+        StoreError
+            If it does not exist or can't be read.
+        """
+        kind = OBJECT_KINDS[Topic.configuration]
+        answer = self._call('GET', f'/objects/{kind}/{CONFIGURATION_NAME}')
+        _raise_for_status(answer)
+        return answer.body
+
     def put_instance(self, record: InstanceRecord) -> None:
         """Create or replace the record of an instance.
 
