Test crowds of bodies, slow readers and idle connections

Callers that nobody controls can end a process: bodies, answers that wait for slow readers and connections have no common bound.

--- a/currantmast/standins/platformfleet.py
+++ b/currantmast/standins/platformfleet.py
@@ -47,8 +47,8 @@
 THINGS = 20
 START_TIMEOUT_S = 15.0
 POLL_S = 0.05
-CALL_TIMEOUT_S = 3.0
-TIME_LIMIT_MS = 2500
+CALL_MARGIN_S = 0.5
+TIME_LIMIT_S = 2.5
 MAX_CALLERS = 500
 LOOPBACK = '127.0.0.1'
 OK = 200
@@ -81,6 +81,27 @@
 DEFAULT_WORK = WorkPlan()
 
 
+class MachinePlan(msgspec.Struct, frozen=True):
+    """What the machines of the instances have, and what callers may send.
+
+    Parameters
+    ----------
+    memory_mb : int
+        Memory of each instance in MB (10^6 bytes).
+    max_fds : int
+        Descriptors of each instance.
+    max_body_bytes : int
+        Largest body of a request.
+    """
+
+    memory_mb: int = 300
+    max_fds: int = 4100
+    max_body_bytes: int = 67_108_864
+
+
+DEFAULT_MACHINE = MachinePlan()
+
+
 class Tally(msgspec.Struct):
     """What callers saw.
 
@@ -110,19 +131,27 @@
         Seed of the load.
     work : WorkPlan
         How long requests and stops take.
+    machine : MachinePlan
+        What the machines of the instances have.
     """
 
     def __init__(
-        self, size: int = 6, seed: int = 1, work: WorkPlan = DEFAULT_WORK
+        self,
+        size: int = 6,
+        seed: int = 1,
+        work: WorkPlan = DEFAULT_WORK,
+        machine: MachinePlan = DEFAULT_MACHINE,
     ) -> None:
         self.size = size
         self.work = work
+        self.machine = machine
         self.version = 1
         self.keys = {team: [key] for team, key in KEYS.items()}
         self.ran: Counter[str] = Counter()
         self.tally = Tally()
         self.instances: dict[str, Process] = {}
         self.public: dict[str, Address] = {}
+        self.metrics: dict[str, Address] = {}
         self.targets: list[PlatformTarget] = []
         self._dice = random.Random(seed)
         self._stack = ExitStack()
@@ -174,6 +203,10 @@
             }
             for team, keys in self.keys.items()
         ]
+        limits = {'max_body_bytes': self.machine.max_body_bytes}
+        resources.append(
+            {'res_kind': 'limits', 'meta': {'name': 'limits'}, 'spec': limits}
+        )
         spec = {'version': f'{self.version:08x}', 'resources': resources}
         self.store.put('config', 'main', spec)
         self.version += 1
@@ -219,7 +252,7 @@
         callers.join()
         return self.tally
 
-    def call(self) -> int:
+    def call(self, limit_s: float = TIME_LIMIT_S) -> int:
         """Make one request of a caller and return its status; 0 for none."""
         self._sent += 1
         request_id = f'q{self._sent}'
@@ -239,13 +272,13 @@
         headers = {
             'Host': HOST,
             'X-Currantmast-Request-Id': request_id,
-            'X-Currantmast-Deadline-Ms': str(TIME_LIMIT_MS),
+            'X-Currantmast-Deadline-Ms': str(round(limit_s * 1000)),
             'Api-Key': self._dice.choice(sorted(KEYS.values())),
             'Cookie': f'X-Currantmast-Affinity-Key={object_key}',
         }
         method = 'GET' if kind == 'idempotent' else 'POST'
         request = Request(method, f'{prefix}{object_key}', headers, body)
-        return self._send(request_id, request, self._dice.choice(named))
+        return self._send(request_id, request, self._dice.choice(named), limit_s)
 
     def list_violations(self) -> list[str]:
         """Return each promise that was broken, as a line."""
@@ -256,11 +289,14 @@
         found |= {'saw a key': saw_key, 'ran twice': unsafe}
         return [f'{what}: {names}' for what, names in found.items() if names]
 
-    def _send(self, request_id: str, request: Request, named: str) -> int:
+    def _send(
+        self, request_id: str, request: Request, named: str, limit_s: float
+    ) -> int:
         host, _, port = named.rpartition(':')
         status = 0
+        timeout_s = limit_s + CALL_MARGIN_S
         try:
-            answer = exchange(_open(Address(host, int(port))), request, CALL_TIMEOUT_S)
+            answer = exchange(_open(Address(host, int(port))), request, timeout_s)
         except TransportError:
             self.tally.statuses[0] += 1
             return status
@@ -297,13 +333,17 @@
             front, ready, lookup = (ports.reserve(LOOPBACK) for _ in range(3))
             peer, metrics = (ports.reserve(LOOPBACK) for _ in range(2))
         self.public[name] = front
+        self.metrics[name] = metrics
         self._lookups[name] = lookup
         zones = '\n'.join(f'{known} = "{region}"' for known, region in ZONES.items())
         self._open_store_link(name)
+        machine = self.machine
         path = self._directory / f'{name}.toml'
         path.write_text(
             f'[self]\nnode = "{name}"\nzone = "{zone}"\nregion = "{ZONES[zone]}"\n'
-            f'ip = "127.0.0.1"\n[network]\nport_range = [{peer.port}, {metrics.port}]\n'
+            f'ip = "127.0.0.1"\n[self.limits]\nmemory_mb = {machine.memory_mb}\n'
+            f'max_fds = {machine.max_fds}\n'
+            f'[network]\nport_range = [{peer.port}, {metrics.port}]\n'
             f'[network.listen]\nfront = "{front}"\nreadiness = "{ready}"\n'
             f'directory = "{lookup}"\n[network.zones]\n{zones}\n'
             f'[provider.provider]\naddr = "{self.store_links[name].address}"\n'
--- a/currantmast/standins/platformtargets.py
+++ b/currantmast/standins/platformtargets.py
@@ -18,6 +18,9 @@
 KEPT_OBJECTS = 17
 MISDIRECTED = 421
 
+# Header of a request that asks for an answer of at least this many bytes.
+ANSWER_BYTES = 'x-answer-bytes'
+
 
 class TargetPlan(msgspec.Struct, frozen=True):
     """One back end.
@@ -138,9 +141,9 @@
             ('X-Currantmast-Server-Load', load),
             ('X-Currantmast-Request-Id', request_id),
         )
-        return OutboundAnswer(
-            status, (*own, *headers), make_body(request_id, inbound.body)
-        )
+        body = make_body(request_id, inbound.body)
+        size = int(inbound.get(ANSWER_BYTES) or 0)
+        return OutboundAnswer(status, (*own, *headers), body.ljust(size, b'.'))
 
 
 def make_body(request_id: str, sent: bytes) -> bytes:
