Bound the memory and the connections that callers can take

Bodies had no common bound and were held up to three times, also beyond the quota and before a key was known; answers stayed in memory after they were written, as parser and reader refer to each other and were only freed by the collector of cycles; connections were bounded by a fixed number.

One budget (direct/memory.py) counts bodies, answers and connections; it follows from memory_mb. Bodies lie in blocks that go to the target without a copy, and the head of a large request is decided before its body is read. Without room a body is not read for 1 s, then refused (503, Retry-After); what has stalled is closed for others; large bodies leave an eighth to small ones. Connections follow from max_fds, and a new one closes the idlest. Trailers are counted, no longer forwarded as headers, and framing of very small chunks is allowed (eight bytes a byte of the body).

Changed tests: the fixture of test_crowds.py waits for one ordinary answer first, since a fresh instance refused its first requests (no_configuration) in some runs, on the old code too; crowds and bounds are as they were, and the gauge of held bytes has to return to zero. test_direct_readers.py calls the new signature and checks the budget besides.

--- a/currantmast/direct/answers.py
+++ b/currantmast/direct/answers.py
@@ -5,7 +5,9 @@
 import httptools
 import msgspec
 
+from currantmast.direct.bodies import Body, append_part, complete_body
 from currantmast.direct.inbound import CONNECTION_HEADERS
+from currantmast.direct.memory import SMALL_BYTES, MemoryBudget
 from currantmast.errors import AnswerIncomplete, AnswerTooLarge, ExchangeBroken
 
 # Longest time for which an idle connection is kept. If the target announces a keep-alive
@@ -40,7 +42,7 @@
         Reason phrase.
     headers : tuple of tuple
         Names and values, without connection-level headers.
-    body : bytes
+    body : Body
         Complete body, without transfer coding.
     connect_s : float
         Seconds that opening the connection took; 0 on a reused one.
@@ -49,7 +51,7 @@
     status: int
     reason: str
     headers: tuple[tuple[str, str], ...]
-    body: bytes
+    body: Body
     connect_s: float = 0
 
     def get(self, name: str) -> str | None:
@@ -64,19 +66,26 @@
 
 
 class BufferedBytes:
-    """Count of the body bytes that all exchanges buffer, up to `MAX_BUFFERED_BYTES`."""
+    """Count of the body bytes that all exchanges buffer, up to `MAX_BUFFERED_BYTES`.
 
-    __slots__ = ('count',)
+    Parameters
+    ----------
+    budget : MemoryBudget, optional
+        Budget of the process, from which they are taken.
+    """
 
-    def __init__(self) -> None:
+    __slots__ = ('budget', 'count')
+
+    def __init__(self, budget: MemoryBudget | None = None) -> None:
         self.count = 0
+        self.budget = budget or MemoryBudget()
 
     def __repr__(self) -> str:
         """Return a short description for debugging."""
         return f'<BufferedBytes {self.count}>'
 
-    def add(self, size: int) -> None:
-        """Reserve `size` bytes.
+    def add(self, size: int, answer_size: int) -> None:
+        """Reserve `size` bytes for an answer that has `answer_size` with them.
 
         Raises
         ------
@@ -85,8 +94,15 @@
         """
         if self.count + size > MAX_BUFFERED_BYTES:
             raise AnswerTooLarge('memory')
+        if not self.budget.reserve(size, answer_size <= SMALL_BYTES):
+            raise AnswerTooLarge('memory')
         self.count += size
 
+    def give_back(self, size: int) -> None:
+        """Return `size` reserved bytes."""
+        self.count -= size
+        self.budget.held -= size
+
 
 class AnswerReader:
     """Parser of the bytes from a target, up to the answer to one request.
@@ -118,7 +134,7 @@
         self._keep_alive = False
         self._reason = b''
         self._headers: list[tuple[str, str]] = []
-        self._body: list[bytes] = []
+        self._body: Body = b''
         self._buffered_size = 0
         self._received_bytes = 0
         self._body_received_bytes = 0
@@ -155,9 +171,19 @@
 
     def release(self) -> None:
         """Drop the buffered body and return its bytes to the shared counter."""
-        self._buffered.count -= self._buffered_size
+        self._buffered.give_back(self._buffered_size)
         self._buffered_size = 0
-        self._body = []
+        self._body = b''
+
+    def close(self) -> None:
+        """Release everything that is buffered, the answer too.
+
+        The parser refers back to the reader, so both would otherwise keep the answer
+        until the next collection of cycles.
+        """
+        self.release()
+        self.answer = None
+        self._parser = None
 
     def finish(self) -> None:
         """Handle the end of the connection, which ends an answer without a length.
@@ -207,14 +233,16 @@
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
-        self._body_received_bytes += len(body)
+        size = len(body)
+        self._body_received_bytes += size
         if self.answer is not None:
             return
-        if self._buffered_size + len(body) > MAX_BODY_BYTES:
+        answer_size = self._buffered_size + size
+        if answer_size > MAX_BODY_BYTES:
             raise AnswerTooLarge('body')
-        self._buffered.add(len(body))
-        self._buffered_size += len(body)
-        self._body.append(body)
+        self._buffered.add(size, answer_size)
+        self._buffered_size = answer_size
+        self._body = append_part(self._body, body)
 
     def on_message_complete(self) -> None:
         """Store the answer if it belongs to the request, and discard it otherwise."""
@@ -235,7 +263,7 @@
             status,
             self._reason.decode('latin-1'),
             headers,
-            b''.join(self._body),
+            complete_body(self._body),
             self._connect_s,
         )
         if self._matches(answer):
--- a/currantmast/direct/exchanges.py
+++ b/currantmast/direct/exchanges.py
@@ -21,6 +21,8 @@
     AnswerReader,
     BufferedBytes,
 )
+from currantmast.direct.bodies import Body
+from currantmast.direct.memory import MemoryBudget
 from currantmast.direct.sockets import is_readable
 from currantmast.errors import (
     ExchangeBroken,
@@ -51,7 +53,7 @@
         HTTP method, and path with query string.
     headers : tuple of tuple
         Names and values, without Content-Length.
-    body : bytes
+    body : Body
         Complete request body.
     transfer_s : float
         Seconds by which an answer that has begun may exceed the timeout, as long as its
@@ -61,7 +63,7 @@
     method: str
     url: str
     headers: tuple[tuple[str, str], ...]
-    body: bytes = b''
+    body: Body = b''
     transfer_s: float = 0
 
 
@@ -113,13 +115,15 @@
     ----------
     clock : Clock
         Source of time.
+    budget : MemoryBudget, optional
+        Budget from which the memory of answers is taken.
     """
 
     __slots__ = ('_buffered', '_clock', '_idle', 'opened_count')
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, budget: MemoryBudget | None = None) -> None:
         self._clock = clock
-        self._buffered = BufferedBytes()
+        self._buffered = BufferedBytes(budget)
         self._idle: dict[str, deque[_Idle]] = {}
         self.opened_count = 0
 
@@ -205,7 +209,7 @@
         except OSError as error:
             raise ExchangeBroken(f'{type(error).__name__}: {error}') from error
         finally:
-            reader.release()
+            reader.close()
             if reusable:
                 self._return_to_pool(target_id, sock, reader.idle_s)
             else:
@@ -244,7 +248,7 @@
 ) -> Answer:
     sock.settimeout(None)
     try:
-        sock.sendall(encode_request(request))
+        _send(sock, request)
     except ConnectionError:
         # A target may answer and close before it has read the whole body, so the
         # answer may still be readable.
@@ -264,6 +268,14 @@
     return reader.answer
 
 
+def _send(sock: Socket, request: TargetRequest) -> None:
+    """Send a request; a body in blocks is not copied."""
+    sock.sendall(encode_request(request))
+    if not isinstance(request.body, bytes):
+        for block in request.body:
+            sock.sendall(block)
+
+
 def _receive(sock: Socket, request: TargetRequest, deadline: _Deadline) -> bytes:
     if not request.transfer_s:
         return sock.recv(CHUNK_BYTES)
@@ -277,10 +289,12 @@
 
 
 def encode_request(request: TargetRequest) -> bytes:
-    """Return the request as HTTP/1.1 bytes."""
+    """Return the request as HTTP/1.1 bytes, without a body that is in blocks."""
     lines = [f'{request.method} {request.url} HTTP/1.1']
     lines.extend(f'{name}: {text}' for name, text in request.headers)
     if request.body or request.method not in {'GET', 'HEAD', 'DELETE'}:
         lines.append(f'Content-Length: {len(request.body)}')
     head = '\r\n'.join((*lines, '', '')).encode('latin-1')
+    if not isinstance(request.body, bytes):
+        return head
     return b''.join((head, request.body))
--- a/currantmast/direct/front.py
+++ b/currantmast/direct/front.py
@@ -7,6 +7,8 @@
 """
 
 from collections.abc import Callable
+from contextlib import suppress
+from functools import partial
 from http import HTTPStatus
 from socket import IPPROTO_TCP, SHUT_RDWR, SHUT_WR, TCP_NODELAY
 from typing import Self
@@ -18,15 +20,20 @@
 from gevent.socket import socket as Socket
 
 from currantmast.clocks import Clock
+from currantmast.direct.connectionslots import SlotUse
+from currantmast.direct.delivery import Delivery
 from currantmast.direct.inbound import (
     PROGRESS_TIMEOUT_S,
+    HeadHandler,
     InboundRequest,
     OutboundAnswer,
     RequestReader,
     RequestRejected,
-    encode_answer,
+    admit_all,
+    reject_for_room,
 )
 from currantmast.direct.model import CallerLimits
+from currantmast.direct.rooms import CallerResources
 from currantmast.direct.sockets import is_readable
 from currantmast.errors import CurrantmastError
 from currantmast.messages import Address
@@ -34,7 +41,9 @@
 
 CHUNK_BYTES = 65_536
 LISTEN_BACKLOG = 512
-MAX_CONNECTIONS = 3000
+
+# Connections that may be accepted above the limit before idle ones have been closed.
+EXTRA_CONNECTIONS = 100
 
 # Bytes received after which the loop yields to other tasks.
 YIELD_BYTES = 128 * 1024
@@ -47,6 +56,9 @@
 LINGER_S = 1.0
 LINGER_POLL_S = 0.01
 
+# The same for a request that was refused by its head while its body arrives.
+BODY_LINGER_S = 3.0
+
 
 class CallerDisconnected(CurrantmastError):
     """The connection to the caller has ended, or has to be closed."""
@@ -68,6 +80,8 @@
         Returns the limits for requests on a new connection.
     clock : Clock
         Source of time.
+    resources : CallerResources, optional
+        What the servers of the process share.
     """
 
     def __init__(
@@ -76,8 +90,11 @@
         handler: Handler,
         get_limits: Callable[[], CallerLimits],
         clock: Clock,
+        resources: CallerResources | None = None,
     ) -> None:
         self.handler = handler
+        self.admit: HeadHandler = admit_all
+        self.resources = resources or CallerResources()
         self.get_limits = get_limits
         self.clock = clock
         self.closing = False
@@ -87,7 +104,7 @@
             (address.host, address.port),
             self._serve,
             backlog=LISTEN_BACKLOG,
-            spawn=MAX_CONNECTIONS,
+            spawn=self.resources.slots.limit + EXTRA_CONNECTIONS,
         )
         self._server.stop_timeout = 0
         self._server.init_socket()
@@ -133,11 +150,15 @@
     def _serve(self, sock: Socket, remote: tuple[str, int]) -> None:
         sock.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
         connection = _Connection(self, sock)
-        self._connections.add(connection)
-        try:
-            connection.run()
-        finally:
-            self._connections.discard(connection)
+        with self.resources.admit(connection) as is_admitted:
+            if not is_admitted:
+                sock.close()
+                return
+            self._connections.add(connection)
+            try:
+                connection.run()
+            finally:
+                self._connections.discard(connection)
 
 
 class _Connection:
@@ -149,24 +170,34 @@
     def __init__(self, server: FrontServer, sock: Socket) -> None:
         self._server = server
         self._sock = sock
-        self._reader = RequestReader(sock, server.get_limits(), server.clock)
+        self._reader = RequestReader(
+            server.get_limits(),
+            server.clock,
+            server.admit,
+            partial(server.resources.budget.open, self._evict),
+        )
+        self._delivery = Delivery(sock, server.resources.budget, self.close)
         self._pending = self._reader.parsed
         self._request_arrived = Event()
         self._task: Greenlet | None = None
+        self._reading: Greenlet | None = None
         self._busy = False
         self._finished = False
+        # Whether the connection lost the room for the body that arrives on it.
+        self._evicted = False
+        self._refused_head = False
 
     def run(self) -> None:
         """Serve the connection until it is closed."""
         self._task = gevent.spawn(self._answer_all)
+        self._reading = gevent.getcurrent()
         try:
             self._read_all()
         except (OSError, CallerDisconnected):
             # The caller disconnected or timed out, so there is nobody to answer.
             self._finished = True
         finally:
-            self._task.kill()
-            self._sock.close()
+            self._end(self._task)
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request has started to arrive."""
@@ -174,6 +205,20 @@
             self._finished = True
             self._sock.shutdown(SHUT_RDWR)
 
+    def get_use(self) -> SlotUse:
+        """Return what the connection is used for."""
+        if self._has_pending_requests():
+            return SlotUse.answering
+        if self._reader.started_at is not None:
+            return SlotUse.receiving
+        return SlotUse.idle
+
+    def close(self) -> None:
+        """End the connection without blocking."""
+        self._finished = True
+        with suppress(OSError):
+            self._sock.shutdown(SHUT_RDWR)
+
     def is_busy(self) -> bool:
         """Return whether a request has started to arrive, or isn't answered yet."""
         if self._finished:
@@ -182,6 +227,15 @@
             return True
         return is_readable(self._sock)
 
+    def _end(self, task: Greenlet) -> None:
+        """End the task, give back the memory of unanswered requests, and close."""
+        self._evicted = False
+        try:
+            task.kill()
+        finally:
+            self._reader.close()
+            self._sock.close()
+
     def _has_pending_requests(self) -> bool:
         return self._busy or bool(self._pending)
 
@@ -194,6 +248,8 @@
             if not received:
                 raise CallerDisconnected('the caller closed the connection')
             self._feed(received)
+            if self._reader.needs_room():
+                self._wait_for_room()
             unyielded_bytes += len(received)
             if unyielded_bytes >= YIELD_BYTES:
                 gevent.sleep(0)
@@ -210,9 +266,10 @@
                 return None
             if self._reader.started_at is None:
                 raise
-        timeout = RequestRejected(408, 'the request did not arrive in time')
-        self._pending.append(timeout)
-        self._request_arrived.set()
+        if not self._reader.is_rejected:
+            timeout = RequestRejected(408, 'the request did not arrive in time')
+            self._reader.reject(timeout)
+            self._request_arrived.set()
         return None
 
     def _feed(self, received: bytes) -> None:
@@ -224,6 +281,21 @@
         if not reusable:
             self._linger()
 
+    def _wait_for_room(self) -> None:
+        """Stop reading until the large body has room; reject it if it gets none."""
+        if not self._server.resources.wait_for_room(self._reader, self._server.clock):
+            self._reader.reject(reject_for_room())
+            self._request_arrived.set()
+            self._linger()
+        if self._reader.should_continue():
+            self._sock.sendall(b'HTTP/1.1 100 Continue\r\n\r\n')
+
+    def _evict(self) -> None:
+        """Reject the body that arrives, and close the connection."""
+        self._reader.reject(reject_for_room())
+        self._evicted = True
+        self._request_arrived.set()
+
     def _linger(self) -> None:
         """Wait for the last answer, then discard what the caller still sends."""
         with gevent.Timeout(
@@ -231,10 +303,11 @@
         ):
             while not self._finished:
                 gevent.sleep(LINGER_POLL_S)
+        linger_s = BODY_LINGER_S if self._refused_head else LINGER_S
         with gevent.Timeout(
-            LINGER_S, CallerDisconnected('timeout after the last request')
+            linger_s, CallerDisconnected('timeout after the last request')
         ):
-            self._sock.settimeout(LINGER_S)
+            self._sock.settimeout(linger_s)
             while self._sock.recv(CHUNK_BYTES):
                 gevent.sleep(0)
         raise CallerDisconnected('answered the last request')
@@ -250,23 +323,18 @@
         self._busy = True
         self._server.active_requests += 1
         try:
-            self._write(request, self._respond(request))
+            self._write(request, _respond(self._server.handler, request))
         except OSError:
             self._finished = True
             self._sock.close()
         finally:
-            self._busy = False
-            self._server.active_requests -= 1
+            self._end_request(request)
 
-    def _respond(self, request: InboundRequest | RequestRejected) -> OutboundAnswer:
-        if isinstance(request, RequestRejected):
-            log_event('request_rejected', status=request.status, error=request)
-            return OutboundAnswer(request.status)
-        try:
-            return self._server.handler(request)
-        except Exception as error:
-            log_event('request_failed', level='ERROR', error=error)
-            return OutboundAnswer(HTTPStatus.BAD_GATEWAY)
+    def _end_request(self, request: InboundRequest | RequestRejected) -> None:
+        request.release()
+        self._busy = False
+        self._server.active_requests -= 1
+        self._server.resources.slots.note_use(self)
 
     def _write(
         self, request: InboundRequest | RequestRejected, answer: OutboundAnswer
@@ -276,8 +344,28 @@
         if isinstance(request, InboundRequest):
             keep_alive = request.keep_alive and not self._server.closing
             is_head = request.method == 'HEAD'
+        else:
+            self._refused_head = request.answer is not None
         self._sock.settimeout(PROGRESS_TIMEOUT_S)
-        self._sock.sendall(encode_answer(answer, keep_alive, is_head))
+        self._delivery.write(answer, keep_alive, is_head)
         if not keep_alive:
             self._finished = True
             self._sock.shutdown(SHUT_WR)
+        if self._evicted:
+            # Its caller has stalled, so there is nothing to wait for.
+            gevent.kill(self._reading, CallerDisconnected('no room'))
+
+
+def _respond(
+    handler: Handler, request: InboundRequest | RequestRejected
+) -> OutboundAnswer:
+    if isinstance(request, RequestRejected):
+        if request.answer is not None:
+            return request.answer
+        log_event('request_rejected', status=request.status, error=request)
+        return OutboundAnswer(request.status)
+    try:
+        return handler(request)
+    except Exception as error:
+        log_event('request_failed', level='ERROR', error=error)
+        return OutboundAnswer(HTTPStatus.BAD_GATEWAY)
--- a/currantmast/direct/inbound.py
+++ b/currantmast/direct/inbound.py
@@ -1,13 +1,15 @@
 """Requests from callers and the answers to them: messages, parser and encoder."""
 
 from collections import deque
+from collections.abc import Callable
 from http import HTTPStatus
 
 import httptools
 import msgspec
-from gevent.socket import socket as Socket
 
 from currantmast.clocks import Clock
+from currantmast.direct.bodies import Body, append_part, complete_body
+from currantmast.direct.memory import SMALL_BYTES, Reservation
 from currantmast.direct.model import CallerLimits
 from currantmast.errors import CurrantmastError
 
@@ -33,6 +35,13 @@
 # such as chunk framing.
 MAX_FRAMING_BYTES = 65_536
 
+# Bytes of framing for each byte of a body: a chunk of one byte takes five beside it.
+FRAMING_PER_BYTE = 8
+
+# Seconds after which a caller that found no room may come again; holders that stall for
+# as long are closed by then.
+ROOM_RETRY_AFTER_S = 1
+
 
 class RequestRejected(CurrantmastError):
     """The bytes from a caller are not an acceptable request.
@@ -43,12 +52,20 @@
         HTTP status of the answer.
     reason : str
         Why it was rejected; logged, not sent to the caller.
+    answer : OutboundAnswer, optional
+        Answer that was decided and logged already.
     """
 
-    def __init__(self, status: int, reason: str) -> None:
+    def __init__(
+        self, status: int, reason: str, answer: 'OutboundAnswer | None' = None
+    ) -> None:
         self.status = status
+        self.answer = answer
         super().__init__(reason)
 
+    def release(self) -> None:
+        """Do nothing: a rejected request holds no memory."""
+
 
 class InboundRequest(msgspec.Struct):
     """A complete request from a caller.
@@ -59,20 +76,26 @@
         As sent; `url` is path and query string.
     headers : list of tuple
         Lower-case names and values, in order.
-    body : bytes
+    body : Body
         Complete body, without transfer coding.
     keep_alive : bool
         Whether the caller may reuse the connection.
     received_at : float
         Clock time in seconds at which the first byte arrived.
+    admitted : bool
+        Whether it was admitted by its head, before its body was read.
+    reservation : Reservation or None
+        Memory of the body.
     """
 
     method: str
     url: str
     headers: list[tuple[str, str]]
-    body: bytes
+    body: Body
     keep_alive: bool
     received_at: float
+    admitted: bool = False
+    reservation: Reservation | None = None
 
     def get(self, name: str) -> str | None:
         """Return the value of header `name` (lower case), or None."""
@@ -81,61 +104,127 @@
                 return text
         return None
 
+    def release(self) -> None:
+        """Give the memory of the body back."""
+        if self.reservation is not None:
+            self.reservation.release()
+
 
 class OutboundAnswer(msgspec.Struct, frozen=True):
     """A complete answer to a caller; an empty `reason` means the standard phrase."""
 
     status: int
     headers: tuple[tuple[str, str], ...] = ()
-    body: bytes = b''
+    body: Body = b''
     reason: str = ''
 
 
+class Admitted(msgspec.Struct, frozen=True):
+    """A request is admitted by its head; `team` sends its body, empty if unknown."""
+
+    team: str = ''
+
+
+HeadHandler = Callable[[InboundRequest], OutboundAnswer | Admitted]
+
+
 class RequestReader:
     """Parser of the bytes of one connection into complete requests.
 
     Parameters
     ----------
-    sock : Socket
-        Connection, for the answer to `Expect: 100-continue`.
     limits : CallerLimits
         Sizes and timeouts of requests.
     clock : Clock
         Source of time.
+    admit : callable
+        Decides on a large request by its head.
+    reserve : callable
+        Returns an empty reservation for a body.
     """
 
-    def __init__(self, sock: Socket, limits: CallerLimits, clock: Clock) -> None:
+    def __init__(
+        self,
+        limits: CallerLimits,
+        clock: Clock,
+        admit: HeadHandler,
+        reserve: Callable[[], Reservation],
+    ) -> None:
         self.started_at: float | None = None
         self.head_complete = False
         self.parsed: deque[InboundRequest | RequestRejected] = deque()
-        self._sock = sock
+        self.reservation: Reservation | None = None
+        self.is_rejected = False
+        # Whether the caller waits for `100 Continue`.
+        self.is_awaited = False
+        self._is_large = False
         self._limits = limits
         self._clock = clock
+        self._admit = admit
+        self._reserve = reserve
         self._parser = httptools.HttpRequestParser(self)
         self._head_bytes = 0
         self._body_bytes = 0
         self._overhead = 0
         self._url = b''
         self._headers: list[tuple[str, str]] = []
-        self._body: list[bytes] = []
+        self._body: Body = b''
 
     def feed(self, received: bytes) -> bool:
         """Parse received bytes; return False if the connection can't carry more."""
+        if self.is_rejected:
+            return False
         before = self._body_bytes
         try:
             self._parser.feed_data(received)
         except httptools.HttpParserError as error:
-            self.parsed.append(_find_rejection(error))
+            self.reject(_find_rejection(error))
             return False
         self._overhead += len(received) - max(0, self._body_bytes - before)
         # The parser reports a name or value only when it is complete, so the callbacks
         # alone would not limit its size.
-        max_overhead = self._limits.header_bytes + MAX_FRAMING_BYTES + self._body_bytes
+        max_overhead = self._limits.header_bytes + MAX_FRAMING_BYTES
+        max_overhead += self._body_bytes * FRAMING_PER_BYTE
         if self._overhead > max_overhead:
-            self.parsed.append(RequestRejected(431, 'too many bytes outside the body'))
+            self.reject(RequestRejected(431, 'too many bytes outside the body'))
             return False
         return True
 
+    def reject(self, rejection: RequestRejected) -> None:
+        """Queue the rejection of the request that arrives, and drop its body."""
+        if not self.is_rejected:
+            self.parsed.append(rejection)
+        self.is_rejected = True
+        self.release()
+
+    def release(self) -> None:
+        """Drop the body of the request that arrives, and give its memory back."""
+        self._body = b''
+        if self.reservation is not None:
+            self.reservation.release()
+            self.reservation = None
+
+    def close(self) -> None:
+        """Release all requests, and the parser, which refers back to the reader."""
+        self.release()
+        for request in self.parsed:
+            request.release()
+        self._parser = None
+
+    def needs_room(self) -> bool:
+        """Return whether a large body needs more room before it is read on."""
+        return (
+            self._is_large
+            and self.reservation is not None
+            and (self.is_awaited or self.reservation.is_short())
+        )
+
+    def should_continue(self) -> bool:
+        """Return whether `100 Continue` is due, once for each request."""
+        is_due = self.is_awaited and not self.is_rejected
+        self.is_awaited = False
+        return is_due
+
     def choose_timeout(self) -> float:
         """Return the timeout in seconds for receiving the next bytes."""
         if self.started_at is None:
@@ -155,7 +244,8 @@
         self._body_bytes = 0
         self._url = b''
         self._headers = []
-        self._body = []
+        self._body = b''
+        self._is_large = False
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the request target."""
@@ -163,40 +253,71 @@
         self._count_head(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Append one header."""
+        """Append one header; those behind the body (trailers) are only counted."""
         self._count_head(len(name) + len(value) + 4)
-        self._headers.append((name.decode('latin-1').lower(), value.decode('latin-1')))
+        if not self.head_complete:
+            known = name.decode('latin-1').lower()
+            self._headers.append((known, value.decode('latin-1')))
 
     def on_headers_complete(self) -> None:
-        """Check the announced body length, and send `100 Continue` if asked to."""
+        """Check the announced body length, and decide on a large request."""
         self.head_complete = True
         headers = dict(self._headers)
         length = headers.get('content-length', '0')
-        if length.isdigit() and int(length) > self._limits.body_bytes:
+        announced = int(length) if length.isdigit() else 0
+        if announced > self._limits.body_bytes:
             raise RequestRejected(413, 'the body is too large')
-        if 'continue' in headers.get('expect', '').lower():
-            self._sock.sendall(b'HTTP/1.1 100 Continue\r\n\r\n')
+        self.is_awaited = 'continue' in headers.get('expect', '').lower()
+        if announced > SMALL_BYTES or self.is_awaited:
+            self._begin_large(announced)
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
         self._body_bytes += len(body)
         if self._body_bytes > self._limits.body_bytes:
             raise RequestRejected(413, 'the body is too large')
-        self._body.append(body)
+        if self._body_bytes > SMALL_BYTES and not self._is_large:
+            self._begin_large(0)
+        if self.reservation is None:
+            self.reservation = self._reserve()
+        reservation = self.reservation
+        if not reservation.add(len(body)) or self.is_rejected:
+            # The room for this part may have been taken by closing this body itself.
+            reservation.release()
+            raise reject_for_room()
+        self._body = append_part(self._body, body)
 
     def on_message_complete(self) -> None:
         """Queue the complete request."""
-        request = InboundRequest(
+        if self.reservation is not None:
+            self.reservation.complete()
+        self.parsed.append(self._make_request(complete_body(self._body)))
+        self.started_at = None
+        self.is_awaited = False
+        self.reservation = None
+        self._body = b''
+        self._overhead = 0
+
+    def _make_request(self, body: Body) -> InboundRequest:
+        return InboundRequest(
             method=self._parser.get_method().decode('latin-1'),
             url=self._url.decode('latin-1'),
             headers=self._headers,
-            body=b''.join(self._body),
+            body=body,
             keep_alive=self._parser.should_keep_alive(),
             received_at=self.started_at or self._clock.now(),
+            admitted=self._is_large,
+            reservation=self.reservation,
         )
-        self.started_at = None
-        self._overhead = 0
-        self.parsed.append(request)
+
+    def _begin_large(self, announced: int) -> None:
+        decision = self._admit(self._make_request(b''))
+        if isinstance(decision, OutboundAnswer):
+            raise RequestRejected(decision.status, 'refused by its head', decision)
+        self._is_large = True
+        if self.reservation is None:
+            self.reservation = self._reserve()
+        self.reservation.announce(announced, decision.team)
 
     def _count_head(self, size: int) -> None:
         self._head_bytes += size
@@ -204,6 +325,19 @@
             raise RequestRejected(431, 'the request head is too large')
 
 
+def reject_for_room() -> RequestRejected:
+    """Return the rejection of a request whose body has no room."""
+    headers = (('Retry-After', f'{ROOM_RETRY_AFTER_S}'), ('Content-Type', 'text/plain'))
+    status = HTTPStatus.SERVICE_UNAVAILABLE
+    answer = OutboundAnswer(status, headers, b'no_memory\n')
+    return RequestRejected(status, 'no room for the body', answer)
+
+
+def admit_all(head: InboundRequest) -> Admitted:
+    """Admit each request by its head."""
+    return Admitted()
+
+
 def encode_answer(answer: OutboundAnswer, keep_alive: bool, is_head: bool) -> bytes:
     """Return the answer as HTTP/1.1 bytes.
 
@@ -216,6 +350,12 @@
     is_head : bool
         Whether the request was a HEAD request, whose answer has no body.
     """
+    head = encode_head(answer, keep_alive)
+    return head if is_head else b''.join((head, bytes(answer.body)))
+
+
+def encode_head(answer: OutboundAnswer, keep_alive: bool) -> bytes:
+    """Return the head of the answer as HTTP/1.1 bytes; see `encode_answer`."""
     reason = answer.reason or _find_phrase(answer.status)
     lines = [f'HTTP/1.1 {answer.status} {reason}']
     lines.extend(
@@ -227,8 +367,7 @@
         lines.append(f'Content-Length: {len(answer.body)}')
     if not keep_alive:
         lines.append('Connection: close')
-    head = '\r\n'.join((*lines, '', '')).encode('latin-1')
-    return head if is_head else b''.join((head, answer.body))
+    return '\r\n'.join((*lines, '', '')).encode('latin-1')
 
 
 def _find_phrase(status: int) -> str:
--- a/currantmast/direct/model.py
+++ b/currantmast/direct/model.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from currantmast.direct.connectionslots import MAX_CONNECTIONS
+from currantmast.direct.memory import DEFAULT_LIMIT_BYTES
 from currantmast.messages import Address
 
 # Priority of the most urgent requests; a larger number is less urgent.
@@ -324,6 +326,10 @@
         Processor cores that it may use, or fewer if its network link is slow.
     bootstrap : bool
         Whether the whole fleet starts for the first time.
+    memory_bytes : int
+        Most bytes that it holds for callers and targets.
+    max_connections : int
+        Most connections of callers.
     """
 
     id: str
@@ -338,3 +344,5 @@
     bounds: Bounds = Bounds()
     capacity: float = 1
     bootstrap: bool = False
+    memory_bytes: int = DEFAULT_LIMIT_BYTES
+    max_connections: int = MAX_CONNECTIONS
--- a/currantmast/direct/process.py
+++ b/currantmast/direct/process.py
@@ -11,6 +11,7 @@
 from gevent.event import Event
 
 from currantmast.clocks import BootClock, Clock
+from currantmast.direct.connectionslots import ConnectionSlots
 from currantmast.direct.exchanges import TargetConnections
 from currantmast.direct.following import Follower
 from currantmast.direct.front import FrontServer
@@ -23,14 +24,17 @@
     InstanceSubscriber,
     TargetSubscriber,
 )
+from currantmast.direct.memory import MemoryBudget
 from currantmast.direct.meters import Meter
 from currantmast.direct.model import CallerLimits, DirectSettings, InstanceRecord
+from currantmast.direct.pressure import PressureReport
 from currantmast.direct.probes import Prober
 from currantmast.direct.queries import Queries
 from currantmast.direct.relays import RecordingSource, RelayServer
 from currantmast.direct.removals import list_removable
 from currantmast.direct.requests import Registry, WireFormat
 from currantmast.direct.reserves import RelayedSource, wait_for_relay
+from currantmast.direct.rooms import CallerResources
 from currantmast.direct.steering import Steering
 from currantmast.direct.updates import Source, Topic
 from currantmast.errors import SettingsError, StoreError, TaskFailed
@@ -100,6 +104,11 @@
         )
         self.state = InstanceState(own, settings.bounds, clock)
         self._meter = Meter()
+        self._resources = CallerResources(
+            MemoryBudget(settings.memory_bytes, clock),
+            ConnectionSlots(settings.max_connections),
+        )
+        self._pressure = PressureReport(self._resources.budget)
         self._stopping = Event()
         self._members_listed = Event()
         self._registered = False
@@ -123,7 +132,9 @@
             incarnation=self.state.members.own.incarnation,
         )
         with ExitStack() as stack:
-            connections = stack.enter_context(TargetConnections(self._clock))
+            connections = stack.enter_context(
+                TargetConnections(self._clock, self._resources.budget)
+            )
             front = stack.enter_context(self._open_front(connections))
             for server in self._open_query_servers():
                 stack.enter_context(server)
@@ -150,11 +161,13 @@
         steering = Steering(
             self.state, self._adapter.wire, connections, self._clock, self._meter
         )
-        return self._make_server(self._settings.public, steering.answer)
+        front = self._make_server(self._settings.public, steering.answer)
+        front.admit = steering.admit_head
+        return front
 
     def _open_query_servers(self) -> tuple[FrontServer, ...]:
         settings = self._settings
-        queries = Queries(self.state, self._adapter.wire, self._meter)
+        queries = Queries(self.state, self._adapter.wire, self._meter, self._resources)
         handlers = (
             (settings.readiness, queries.answer_readiness),
             (settings.lookup, queries.answer_lookup),
@@ -166,7 +179,9 @@
     def _make_server(
         self, address, handler: Callable[[InboundRequest], OutboundAnswer]
     ) -> FrontServer:
-        return FrontServer(address, handler, self._get_limits, self._clock)
+        return FrontServer(
+            address, handler, self._get_limits, self._clock, self._resources
+        )
 
     def _get_limits(self) -> CallerLimits:
         config = self.state.configuration.value
@@ -232,6 +247,7 @@
         while True:
             self._register()
             connections.close_expired()
+            self._pressure.update()
             for record in list_removable(self.state.members):
                 self._remove_member(record)
             self._clock.sleep(HOUSEKEEPING_INTERVAL_S)
--- a/currantmast/direct/queries.py
+++ b/currantmast/direct/queries.py
@@ -5,6 +5,7 @@
 from currantmast.direct.members import choose_lookup_instances
 from currantmast.direct.meters import Meter
 from currantmast.direct.requests import WireFormat
+from currantmast.direct.rooms import CONNECTION_BYTES, CallerResources
 from currantmast.direct.updates import Topic
 
 # Seconds for which callers may cache a look-up answer. Short, since a new look-up is how
@@ -23,11 +24,20 @@
         Encoding of look-ups on this platform.
     meter : Meter
         Metrics of the instance.
+    resources : CallerResources, optional
+        Memory and connections of the process.
     """
 
-    __slots__ = ('_meter', '_state', '_wire')
+    __slots__ = ('_meter', '_resources', '_state', '_wire')
 
-    def __init__(self, state: InstanceState, wire: WireFormat, meter: Meter) -> None:
+    def __init__(
+        self,
+        state: InstanceState,
+        wire: WireFormat,
+        meter: Meter,
+        resources: CallerResources | None = None,
+    ) -> None:
+        self._resources = resources or CallerResources()
         self._state = state
         self._wire = wire
         self._meter = meter
@@ -69,8 +79,22 @@
             'members': len(state.members),
             'members_ready': len(state.members.list_ready()),
             'entry_instances': len(state.members.entries),
+            **self._list_resource_gauges(),
         }
         for name, value in gauges.items():
             self._meter.set_gauge(name, value)
         headers = (('Content-Type', 'text/plain; version=0.0.4'),)
         return OutboundAnswer(200, headers, self._meter.render())
+
+    def _list_resource_gauges(self) -> dict[str, float]:
+        budget = self._resources.budget
+        slots = self._resources.slots
+        return {
+            'memory_held_bytes': budget.held - len(slots) * CONNECTION_BYTES,
+            'memory_limit_bytes': budget.limit,
+            'memory_refused': budget.refused_count,
+            'memory_closed': budget.closed_count,
+            'caller_connections': len(slots),
+            'caller_connections_limit': slots.limit,
+            'caller_connections_closed': slots.closed_count,
+        }
--- a/currantmast/direct/reserves.py
+++ b/currantmast/direct/reserves.py
@@ -247,7 +247,7 @@
             raise WatchExpired(path)
         if answer.status != HTTPStatus.OK:
             raise StoreUnavailable(f'{relay.id}: status {answer.status}')
-        return decode_update(topic, answer.body)
+        return decode_update(topic, bytes(answer.body))
 
 
 def list_relays(members: Members) -> tuple[InstanceRecord, ...]:
--- a/currantmast/direct/steering.py
+++ b/currantmast/direct/steering.py
@@ -2,6 +2,8 @@
 
 from http import HTTPStatus
 
+import msgspec
+
 from currantmast.clocks import Clock
 from currantmast.direct.answers import Answer
 from currantmast.direct.attempts import (
@@ -17,7 +19,7 @@
 )
 from currantmast.direct.choices import Choice, NoCapacity
 from currantmast.direct.exchanges import TargetConnections
-from currantmast.direct.inbound import InboundRequest, OutboundAnswer
+from currantmast.direct.inbound import Admitted, InboundRequest, OutboundAnswer
 from currantmast.direct.instance_state import InstanceState
 from currantmast.direct.model import Route, Team
 from currantmast.direct.rates import RateExceeded, SharesUnknown
@@ -52,6 +54,13 @@
 BOOT_RETRY_AFTER_S = 0.5
 
 
+class _Checked(msgspec.Struct, frozen=True):
+    """Route and team of a request that may be sent."""
+
+    route: Route
+    team: Team | None
+
+
 class Steering:
     """Answers the requests of callers by sending each to a target.
 
@@ -86,7 +95,7 @@
     def answer(self, inbound: InboundRequest) -> OutboundAnswer:
         """Return the answer to one request."""
         call = self._wire.decode_request(inbound)
-        admission = self._admit(call, inbound.received_at)
+        admission = self._admit(call, inbound)
         if isinstance(admission, OutboundAnswer):
             return admission
         attempts = Attempts(self._state, admission, self._clock)
@@ -94,10 +103,31 @@
         self._log_result(admission, attempts, result)
         return self._encode(result)
 
+    def admit_head(self, head: InboundRequest) -> OutboundAnswer | Admitted:
+        """Decide on a large request before its body is read.
+
+        Its team's rate is used now; the rest is decided again with the whole request.
+        """
+        call = self._wire.decode_request(head)
+        checked = self._check(call, head)
+        if isinstance(checked, OutboundAnswer):
+            return checked
+        team = checked.team
+        return Admitted(team.name if team else '')
+
     def _admit(
-        self, call: CallerRequest, received_at: float
+        self, call: CallerRequest, inbound: InboundRequest
     ) -> Admission | OutboundAnswer:
+        checked = self._check(call, inbound)
+        if isinstance(checked, OutboundAnswer):
+            return checked
+        return self._make_admission(call, checked, inbound.received_at)
+
+    def _check(
+        self, call: CallerRequest, inbound: InboundRequest
+    ) -> _Checked | OutboundAnswer:
         state = self._state
+        received_at = inbound.received_at
         config = state.configuration.value
         if config is None or not state.targets_listed:
             return self._refuse(call, Reason.no_configuration, BOOT_RETRY_AFTER_S)
@@ -113,19 +143,23 @@
             return self._refuse(call, Reason.stopping, MIN_RETRY_AFTER_S)
         team = None
         if config.teams and not route.keyless:
-            found = self._admit_team(call)
+            found = self._admit_team(call, inbound.admitted)
             if isinstance(found, OutboundAnswer):
                 return found
             team = found
-        return self._make_admission(call, route, team, received_at)
+        return _Checked(route, team)
 
-    def _admit_team(self, call: CallerRequest) -> Team | OutboundAnswer:
+    def _admit_team(
+        self, call: CallerRequest, is_counted: bool
+    ) -> Team | OutboundAnswer:
         state = self._state
         if not state.has_lease():
             return self._refuse(call, Reason.no_lease, BOOT_RETRY_AFTER_S)
         team = state.configuration.find_team(call.key or '')
         if team is None:
             return self._refuse(call, Reason.key_unknown)
+        if is_counted:
+            return team
         match state.rate_limiter.admit(team):
             case RateExceeded() as exceeded:
                 return self._refuse_rate(call, team, exceeded)
@@ -136,8 +170,10 @@
         return team
 
     def _make_admission(
-        self, call: CallerRequest, route: Route, team: Team | None, received_at: float
+        self, call: CallerRequest, checked: _Checked, received_at: float
     ) -> Admission:
+        route = checked.route
+        team = checked.team
         allowed_regions = route.allowed_regions
         if team is not None and team.allowed_regions:
             allowed_regions = (
--- a/currantmast/platform/boot.py
+++ b/currantmast/platform/boot.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from currantmast.direct.connectionslots import compute_connections
+from currantmast.direct.memory import DEFAULT_MEMORY_MB, compute_limit
 from currantmast.direct.model import Bounds, DirectSettings, Location
 from currantmast.errors import SettingsError
 from currantmast.fields import parse_address
@@ -27,6 +29,9 @@
 # have been one interval earlier.
 EXPIRY_INTERVALS = 2
 
+# Descriptors of a process whose settings don't name them.
+DEFAULT_MAX_FDS = 4200
+
 # Intervals of silence after which the store removes the entry of a target.
 LAPSE_INTERVALS = 3
 
@@ -35,6 +40,8 @@
     cpu_share: float = 1
     cores: float = 1
     link_mbps: float = math.inf
+    memory_mb: float = DEFAULT_MEMORY_MB
+    max_fds: int = DEFAULT_MAX_FDS
 
 
 class _Self(msgspec.Struct):
@@ -182,6 +189,8 @@
         ),
         capacity=_compute_capacity(boot.own.limits),
         bootstrap=boot.own.bootstrap,
+        memory_bytes=compute_limit(boot.own.limits.memory_mb),
+        max_connections=compute_connections(boot.own.limits.max_fds),
     )
 
 
--- a/currantmast/platform/store.py
+++ b/currantmast/platform/store.py
@@ -151,7 +151,7 @@
         if answer.status == HTTPStatus.NOT_FOUND:
             return
         _raise_for_status(answer)
-        stored = decode_object(Topic.instances, answer.body)
+        stored = decode_object(Topic.instances, bytes(answer.body))
         if stored.value is None or stored.value == record:
             deleted = self._call('DELETE', f'{path}?rev={stored.revision}')
             if deleted.status != HTTPStatus.NOT_FOUND:
@@ -168,7 +168,7 @@
         if answer.status == HTTPStatus.GONE:
             raise WatchExpired(f'{topic.value}: {query}')
         _raise_for_status(answer)
-        page = decode_page(answer.body)
+        page = decode_page(bytes(answer.body))
         return page, Position(_find_era(answer), page.current_rev)
 
     def _call(self, method: str, path: str, body: bytes = b'') -> Answer:
--- a/currantmast/standins/platformfleet.py
+++ b/currantmast/standins/platformfleet.py
@@ -98,6 +98,12 @@
     max_fds: int = 4100
     max_body_bytes: int = 67_108_864
 
+    def format_limits(self) -> str:
+        """Return the table of the limits in the settings of an instance."""
+        return (
+            f'[self.limits]\nmemory_mb = {self.memory_mb}\nmax_fds = {self.max_fds}\n'
+        )
+
 
 DEFAULT_MACHINE = MachinePlan()
 
@@ -337,12 +343,10 @@
         self._lookups[name] = lookup
         zones = '\n'.join(f'{known} = "{region}"' for known, region in ZONES.items())
         self._open_store_link(name)
-        machine = self.machine
         path = self._directory / f'{name}.toml'
         path.write_text(
             f'[self]\nnode = "{name}"\nzone = "{zone}"\nregion = "{ZONES[zone]}"\n'
-            f'ip = "127.0.0.1"\n[self.limits]\nmemory_mb = {machine.memory_mb}\n'
-            f'max_fds = {machine.max_fds}\n'
+            f'ip = "127.0.0.1"\n{self.machine.format_limits()}'
             f'[network]\nport_range = [{peer.port}, {metrics.port}]\n'
             f'[network.listen]\nfront = "{front}"\nreadiness = "{ready}"\n'
             f'directory = "{lookup}"\n[network.zones]\n{zones}\n'
--- a/currantmast/standins/platformstore.py
+++ b/currantmast/standins/platformstore.py
@@ -169,7 +169,7 @@
         kind = parts[1] if len(parts) > 1 else ''
         if len(parts) < PATH_PARTS:
             if inbound.method == 'POST':
-                return self._create(kind, msgspec.json.decode(inbound.body))
+                return self._create(kind, msgspec.json.decode(bytes(inbound.body)))
             return self._read(kind, query)
         return self._change(inbound, kind, parts[2], query.get('rev'))
 
@@ -217,7 +217,7 @@
             return _reply(known, HTTPStatus.CONFLICT)
         match inbound.method:
             case 'PUT':
-                spec = msgspec.json.decode(inbound.body).get('spec')
+                spec = msgspec.json.decode(bytes(inbound.body)).get('spec')
                 self.put(kind, name, spec)
                 return _reply(self._stored[kind, name])
             case 'DELETE':
--- a/currantmast/standins/platformtargets.py
+++ b/currantmast/standins/platformtargets.py
@@ -141,7 +141,7 @@
             ('X-Currantmast-Server-Load', load),
             ('X-Currantmast-Request-Id', request_id),
         )
-        body = make_body(request_id, inbound.body)
+        body = make_body(request_id, bytes(inbound.body))
         size = int(inbound.get(ANSWER_BYTES) or 0)
         return OutboundAnswer(status, (*own, *headers), body.ljust(size, b'.'))
 
--- a/tests/integration/test_crowds.py
+++ b/tests/integration/test_crowds.py
@@ -3,7 +3,10 @@
 The crowds and the bounds were fixed before the product was changed for them.
 """
 
+import re
+from contextlib import contextmanager
 from pathlib import Path
+from urllib.request import urlopen
 
 import gevent
 import pytest
@@ -36,11 +39,18 @@
 
 
 WORK = WorkPlan(timeout_s=20)
+START_S = 30.0
 SMALLEST = MachinePlan(memory_mb=200)
 
 
+@contextmanager
 def open_fleet(machine):
-    return PlatformFleet(size=1, seed=5, work=WORK, machine=machine)
+    with PlatformFleet(size=1, seed=5, work=WORK, machine=machine) as fleet:
+        # An instance that has just started may refuse what it will serve soon.
+        with gevent.Timeout(START_S):
+            while fleet.call(WORK.timeout_s) != 200:
+                gevent.sleep(0.1)
+        yield fleet
 
 
 @pytest.fixture
@@ -64,6 +74,9 @@
     assert read_memory_mb(instance.pid, 'VmHWM') <= MACHINE.memory_mb
     assert peak_fds.value <= MACHINE.max_fds
     assert status == 200
+    with gevent.Timeout(START_S):
+        while read_gauge(fleet, 'memory_held_bytes'):
+            gevent.sleep(0.1)
     assert not fleet.list_violations()
 
 
@@ -85,6 +98,14 @@
         assert read_memory_mb(instance.pid, 'VmHWM') <= SMALLEST.memory_mb
 
 
+def read_gauge(fleet, name):
+    """Return a gauge of the instance's metrics."""
+    address = fleet.metrics['edge-0']
+    with urlopen(f'http://{address}/metrics') as answer:
+        text = answer.read().decode()
+    return float(re.search(f'belief{{name="{name}"}} (.+)', text)[1])
+
+
 def watch_descriptors(pid):
     """Return the most descriptors that the process had, once killed."""
     most = 0
--- a/tests/test_direct_front.py
+++ b/tests/test_direct_front.py
@@ -8,9 +8,12 @@
 from gevent import socket
 
 from currantmast.clocks import BootClock
+from currantmast.direct.bodies import StoredBody
 from currantmast.direct.front import FrontServer
 from currantmast.direct.inbound import OutboundAnswer
+from currantmast.direct.memory import STALL_S
 from currantmast.direct.model import CallerLimits
+from currantmast.direct.rooms import CONNECTION_BYTES
 from currantmast.messages import Address
 
 LIMITS = CallerLimits(
@@ -180,3 +183,85 @@
         assert read_all(sock).startswith(b'HTTP/1.1 200')
         gevent.sleep(0.05)
         assert not server.has_pending_requests()
+
+
+def test_refusal_by_the_head_comes_before_the_body_and_before_100_continue():
+    """Guards against bodies that are read though their request is refused."""
+    asked = []
+    head = b'POST /a HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 9\r\n\r\n'
+    with open_front(echo) as server, connect(server) as sock:
+        server.admit = lambda request: asked.append(request.url) or OutboundAnswer(429)
+        sock.sendall(head)
+        assert read_all(sock).startswith(b'HTTP/1.1 429')
+        assert asked == ['/a']
+
+
+def test_100_continue_comes_once_the_head_is_admitted():
+    head = b'POST /a HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 9\r\n\r\n'
+    with open_front(echo) as server, connect(server) as sock:
+        sock.sendall(head)
+        assert sock.recv(65_536) == b'HTTP/1.1 100 Continue\r\n\r\n'
+        sock.sendall(b'some body')
+        assert sock.recv(65_536).endswith(b'some body')
+        gevent.sleep(0)
+        assert server.resources.budget.held == CONNECTION_BYTES
+
+
+@pytest.mark.parametrize('chunk_bytes', [1, 300])
+def test_body_in_very_small_chunks_is_whole(chunk_bytes):
+    body = bytes(range(256)) * 35
+    parts = [
+        body[start : start + chunk_bytes] for start in range(0, len(body), chunk_bytes)
+    ]
+    chunks = b''.join(b'%x\r\n%s\r\n' % (len(part), part) for part in parts)
+    head = b'POST /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n'
+    with open_front(echo) as server:
+        answer = exchange(
+            server, head + b'Transfer-Encoding: chunked\r\n\r\n' + chunks + b'0\r\n\r\n'
+        )
+    assert answer.endswith(body)
+
+
+def test_trailers_are_no_headers():
+    """Guards against a key or id that comes behind the body."""
+    sent = (
+        b'POST /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n'
+        b'Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\nApi-Key: k\r\n\r\n'
+    )
+    found = []
+    with open_front(lambda request: found.append(request) or echo(request)) as server:
+        assert exchange(server, sent).startswith(b'HTTP/1.1 200')
+    assert found[0].get('api-key') is None
+
+
+def test_body_that_loses_its_room_is_refused_and_its_connection_closed():
+    limits = CallerLimits(header_timeout_s=5, idle_s=5)
+    with open_front(echo, limits) as server, connect(server) as sock:
+        sock.sendall(b'POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 500000\r\n\r\n')
+        sock.sendall(b'x' * 499_999)
+        gevent.sleep(STALL_S + 0.1)
+        budget = server.resources.budget
+        assert budget.held > 499_999
+        assert budget.close_stalled()
+        assert read_all(sock).startswith(b'HTTP/1.1 503')
+        gevent.sleep(0.05)
+        assert budget.held == 0
+
+
+def test_answer_that_nobody_reads_loses_its_room():
+    """Guards against callers that keep large answers in memory by not reading them."""
+    body = StoredBody()
+    for _ in range(300):
+        body.append(b'y' * 65_536)
+    with (
+        open_front(lambda request: OutboundAnswer(200, (), body)) as server,
+        connect(server) as sock,
+    ):
+        budget = server.resources.budget
+        sock.sendall(REQUEST)
+        gevent.sleep(STALL_S + 0.1)
+        assert budget.held > len(body)
+        assert budget.close_stalled()
+        gevent.sleep(0.05)
+        assert budget.held == 0
+        assert server.active_requests == 0
--- a/tests/test_direct_readers.py
+++ b/tests/test_direct_readers.py
@@ -10,7 +10,13 @@
     AnswerReader,
     BufferedBytes,
 )
-from currantmast.direct.inbound import InboundRequest, RequestReader, RequestRejected
+from currantmast.direct.inbound import (
+    InboundRequest,
+    RequestReader,
+    RequestRejected,
+    admit_all,
+)
+from currantmast.direct.memory import MemoryBudget
 from currantmast.direct.model import CallerLimits
 from currantmast.errors import ExchangeBroken
 
@@ -36,13 +42,6 @@
 STREAMS = some.lists(some.sampled_from(PIECES) | some.binary(max_size=20), max_size=60)
 
 
-class NullSocket:
-    """Socket that discards what is sent."""
-
-    def sendall(self, sent):
-        """Discard the bytes."""
-
-
 @settings(max_examples=300, deadline=None)
 @given(STREAMS)
 def test_any_answer_bytes_stay_within_limits_or_raise_exchange_broken(stream):
@@ -63,7 +62,10 @@
 @given(STREAMS)
 def test_any_request_bytes_become_requests_or_one_rejection(stream):
     limits = CallerLimits(body_bytes=400_000)
-    reader = RequestReader(NullSocket(), limits, ManualClock(0))
+    budget = MemoryBudget(clock=ManualClock(0))
+    reader = RequestReader(
+        limits, budget.clock, admit_all, lambda: budget.open(lambda: None)
+    )
     for piece in stream:
         if not reader.feed(piece):
             break
@@ -71,6 +73,10 @@
         assert isinstance(found, InboundRequest | RequestRejected)
         if isinstance(found, InboundRequest):
             assert len(found.body) <= limits.body_bytes
+            found.release()
+    reader.release()
+    assert budget.held == 0
+    assert not budget.holders
     rejections = [
         found for found in reader.parsed if isinstance(found, RequestRejected)
     ]
