--- a/currantmast/direct/crashes.py
+++ b/currantmast/direct/crashes.py
@@ -12,6 +12,7 @@
 import xxhash
 
 from currantmast.clocks import Clock
+from currantmast.direct.bodies import Body
 
 # Different targets that a request may crash before it is refused.
 MAX_CRASHES = 3
@@ -143,11 +144,12 @@
                 suspects.popitem(last=False)
 
 
-def make_fingerprint(team: str, method: str, url: str, body: bytes) -> str:
+def make_fingerprint(team: str, method: str, url: str, body: Body) -> str:
     """Return the digest that is the same for all copies of a request."""
     digest = xxhash.xxh3_128()
     for part in (team.encode(), method.encode(), url.encode()):
         digest.update(len(part).to_bytes(4, 'big'))
         digest.update(part)
-    digest.update(body)
+    for block in (body,) if isinstance(body, bytes) else body:
+        digest.update(block)
     return digest.hexdigest()
--- a/currantmast/direct/exchanges.py
+++ b/currantmast/direct/exchanges.py
@@ -6,6 +6,7 @@
 """
 
 from collections import deque
+from collections.abc import Iterator
 from socket import IPPROTO_TCP, TCP_NODELAY
 from typing import Self
 
@@ -21,6 +22,8 @@
     AnswerReader,
     BufferedBytes,
 )
+from currantmast.direct.bodies import Body
+from currantmast.direct.memory import MemoryBudget
 from currantmast.direct.sockets import is_readable
 from currantmast.errors import (
     AnswerIncomplete,
@@ -56,7 +59,7 @@
         HTTP method, and path with query string.
     headers : tuple of tuple
         Names and values, without Content-Length.
-    body : bytes
+    body : Body
         Complete request body.
     transfer_s : float
         Seconds by which an answer that has begun may exceed the timeout, as long as its
@@ -66,7 +69,7 @@
     method: str
     url: str
     headers: tuple[tuple[str, str], ...]
-    body: bytes = b''
+    body: Body = b''
     transfer_s: float = 0
 
 
@@ -120,13 +123,15 @@
     ----------
     clock : Clock
         Source of time.
+    budget : MemoryBudget, optional
+        Budget from which the memory of answers is taken.
     """
 
     __slots__ = ('_buffered', '_clock', '_idle', 'opened_count')
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, budget: MemoryBudget | None = None) -> None:
         self._clock = clock
-        self._buffered = BufferedBytes()
+        self._buffered = BufferedBytes(budget)
         self._idle: dict[str, deque[_Idle]] = {}
         self.opened_count = 0
 
@@ -212,7 +217,7 @@
         except OSError as error:
             raise ExchangeBroken(f'{type(error).__name__}: {error}') from error
         finally:
-            reader.release()
+            reader.close()
             if reusable:
                 self._return_to_pool(target_id, sock, reader.idle_s)
             else:
@@ -300,11 +305,15 @@
     return received
 
 
-def encode_request(request: TargetRequest) -> bytes:
-    """Return the request as HTTP/1.1 bytes."""
+def encode_request(request: TargetRequest) -> Iterator[bytes | bytearray]:
+    """Return the request as HTTP/1.1 in parts; a body in blocks is not copied."""
     lines = [f'{request.method} {request.url} HTTP/1.1']
     lines.extend(f'{name}: {text}' for name, text in request.headers)
     if request.body or request.method not in {'GET', 'HEAD', 'DELETE'}:
         lines.append(f'Content-Length: {len(request.body)}')
     head = '\r\n'.join((*lines, '', '')).encode('latin-1')
-    return b''.join((head, request.body))
+    if isinstance(request.body, bytes):
+        yield b''.join((head, request.body))
+        return
+    yield head
+    yield from request.body
--- a/currantmast/direct/steering.py
+++ b/currantmast/direct/steering.py
@@ -2,6 +2,8 @@
 
 from http import HTTPStatus
 
+import msgspec
+
 from currantmast.clocks import Clock
 from currantmast.direct.answers import Answer
 from currantmast.direct.attempts import (
@@ -18,9 +20,10 @@
 from currantmast.direct.choices import Choice, NoCapacity
 from currantmast.direct.crashwatch import CrashWatch
 from currantmast.direct.exchanges import TargetConnections
-from currantmast.direct.inbound import InboundRequest, OutboundAnswer
+from currantmast.direct.inbound import Admitted, InboundRequest, OutboundAnswer
 from currantmast.direct.instance_state import InstanceState
 from currantmast.direct.model import Route, Team
+from currantmast.direct.notices import TargetNotices
 from currantmast.direct.rates import RateExceeded, SharesUnknown
 from currantmast.direct.refusals import encode_refusal
 from currantmast.direct.requests import (
@@ -53,6 +56,13 @@
 BOOT_RETRY_AFTER_S = 0.5
 
 
+class _Checked(msgspec.Struct, frozen=True):
+    """Route and team of a request that may be sent."""
+
+    route: Route
+    team: Team | None
+
+
 class Steering:
     """Answers the requests of callers by sending each to a target.
 
@@ -88,7 +98,7 @@
     def answer(self, inbound: InboundRequest) -> OutboundAnswer:
         """Return the answer to one request."""
         call = self._wire.decode_request(inbound)
-        admission = self._admit(call, inbound.received_at)
+        admission = self._admit(call, inbound)
         if isinstance(admission, OutboundAnswer):
             return admission
         if self._crash_watch.is_refused(inbound, admission.team_name):
@@ -96,17 +106,36 @@
         attempts = Attempts(self._state, admission, self._clock)
         result = self._send_with_retries(inbound, admission, attempts)
         self._log_result(admission, attempts, result)
-        return self._encode(result)
+        return _encode_result(self._wire, result)
+
+    def admit_head(self, head: InboundRequest) -> OutboundAnswer | Admitted:
+        """Decide on a large request before its body is read.
+
+        Its team's rate is used now; the rest is decided again with the whole request.
+        """
+        call = self._wire.decode_request(head)
+        checked = self._check(call, head)
+        if isinstance(checked, OutboundAnswer):
+            return checked
+        team = checked.team
+        return Admitted(team.name if team else '')
 
     def _admit(
-        self, call: CallerRequest, received_at: float
+        self, call: CallerRequest, inbound: InboundRequest
     ) -> Admission | OutboundAnswer:
+        checked = self._check(call, inbound)
+        if isinstance(checked, OutboundAnswer):
+            return checked
+        return self._make_admission(call, checked, inbound.received_at)
+
+    def _check(
+        self, call: CallerRequest, inbound: InboundRequest
+    ) -> _Checked | OutboundAnswer:
         state = self._state
+        received_at = inbound.received_at
         config = state.configuration.value
         if config is None or not state.targets_listed:
             return self._refuse(call, Reason.no_configuration, BOOT_RETRY_AFTER_S)
-        if not call.request_id:
-            return self._refuse(call, Reason.bad_request)
         route = self._match(call)
         if isinstance(route, OutboundAnswer):
             return route
@@ -117,13 +146,15 @@
             return self._refuse(call, Reason.stopping, MIN_RETRY_AFTER_S)
         team = None
         if config.requires_keys and not route.keyless:
-            found = self._admit_team(call)
+            found = self._admit_team(call, inbound.admitted)
             if isinstance(found, OutboundAnswer):
                 return found
             team = found
-        return self._make_admission(call, route, team, received_at)
+        return _Checked(route, team)
 
     def _match(self, call: CallerRequest) -> Route | OutboundAnswer:
+        if not call.request_id:
+            return self._refuse(call, Reason.bad_request)
         host = call.host.partition(':')[0]
         route = self._state.configuration.match(host, call.path)
         if route is None:
@@ -132,7 +163,9 @@
             return self._refuse(call, Reason.entry_unreadable, BOOT_RETRY_AFTER_S)
         return route
 
-    def _admit_team(self, call: CallerRequest) -> Team | OutboundAnswer:
+    def _admit_team(
+        self, call: CallerRequest, is_counted: bool
+    ) -> Team | OutboundAnswer:
         state = self._state
         if not state.has_lease():
             return self._refuse(call, Reason.no_lease, BOOT_RETRY_AFTER_S)
@@ -141,7 +174,10 @@
         team = state.configuration.find_team(call.key or '')
         if team is None:
             return self._refuse(call, Reason.key_unknown)
-        match state.rate_limiter.admit(team):
+        return team if is_counted else self._use_rate(call, team)
+
+    def _use_rate(self, call: CallerRequest, team: Team) -> Team | OutboundAnswer:
+        match self._state.rate_limiter.admit(team):
             case RateExceeded() as exceeded:
                 return self._refuse_rate(call, team, exceeded)
             case SharesUnknown():
@@ -151,8 +187,10 @@
         return team
 
     def _make_admission(
-        self, call: CallerRequest, route: Route, team: Team | None, received_at: float
+        self, call: CallerRequest, checked: _Checked, received_at: float
     ) -> Admission:
+        route = checked.route
+        team = checked.team
         allowed_regions = route.allowed_regions
         if team is not None and team.allowed_regions:
             allowed_regions = (
@@ -266,7 +304,7 @@
             self._state.target_limits.note_answer(
                 target.record.id, target_answer.rate_limit
             )
-        self._note_notices(target, target_answer)
+        _note_notices(self._state.targets.notices, target, target_answer)
         match target_answer.shed:
             case ShedReason.full:
                 target.note_shed()
@@ -285,13 +323,6 @@
             return OutcomeUnknown(Reason.answer_incomplete)
         return Answered(answer, target_answer)
 
-    def _note_notices(self, target: Target, target_answer: TargetAnswer) -> None:
-        notices = self._state.targets.notices
-        if target_answer.leaving:
-            notices.note_leaving(target.record.id)
-        if target_answer.pause_s:
-            notices.note_pause(target.record.id, target_answer.pause_s)
-
     def _record_success(
         self, admission: Admission, choice: Choice, elapsed_s: float
     ) -> None:
@@ -347,19 +378,6 @@
         self._meter.count_outcome('refused', reason)
         return encode_refusal(NotRun(reason), after_s)
 
-    def _encode(self, result: AttemptResult) -> OutboundAnswer:
-        match result:
-            case Answered(answer):
-                return self._wire.encode_answer(answer)
-            case TryLater(refusal, after_s):
-                return encode_refusal(refusal, after_s)
-            case NotRun():
-                return encode_refusal(result, MIN_RETRY_AFTER_S)
-            case OutcomeUnknown(Reason.deadline):
-                return OutboundAnswer(HTTPStatus.GATEWAY_TIMEOUT)
-            case OutcomeUnknown():
-                return OutboundAnswer(HTTPStatus.BAD_GATEWAY)
-
     def _log_result(
         self, admission: Admission, attempts: Attempts, result: AttemptResult
     ) -> None:
@@ -418,3 +436,26 @@
         case AnswerIncomplete():
             return Reason.answer_incomplete
     return Reason.connection_lost
+
+
+def _note_notices(
+    notices: TargetNotices, target: Target, target_answer: TargetAnswer
+) -> None:
+    if target_answer.leaving:
+        notices.note_leaving(target.record.id)
+    if target_answer.pause_s:
+        notices.note_pause(target.record.id, target_answer.pause_s)
+
+
+def _encode_result(wire: WireFormat, result: AttemptResult) -> OutboundAnswer:
+    match result:
+        case Answered(answer):
+            return wire.encode_answer(answer)
+        case TryLater(refusal, after_s):
+            return encode_refusal(refusal, after_s)
+        case NotRun():
+            return encode_refusal(result, MIN_RETRY_AFTER_S)
+        case OutcomeUnknown(Reason.deadline):
+            return OutboundAnswer(HTTPStatus.GATEWAY_TIMEOUT)
+        case OutcomeUnknown():
+            return OutboundAnswer(HTTPStatus.BAD_GATEWAY)
--- a/currantmast/exchange.py
+++ b/currantmast/exchange.py
@@ -74,7 +74,7 @@
             body=request.body,
             headers=request.headers,
         )
-        writer = RequestWriter(connection, head.encode('latin-1') + request.body)
+        writer = RequestWriter(connection, (head.encode('latin-1') + request.body,))
         writer.start()
         return _WatchedResponse(
             connection, self._connection_pool, writer, request.method
--- a/currantmast/writers.py
+++ b/currantmast/writers.py
@@ -5,6 +5,8 @@
 """
 
 from array import array
+from collections import deque
+from collections.abc import Iterable
 from contextlib import suppress
 from fcntl import ioctl
 from socket import SO_ERROR, SOL_SOCKET
@@ -25,15 +27,16 @@
     ----------
     sock : Socket
         Connection to the server.
-    encoded : bytes
-        Request to write.
+    parts : iterable of bytes or bytearray
+        Request to write, in parts that are not copied.
     """
 
-    __slots__ = ('_left', '_sock', '_task')
+    __slots__ = ('_left', '_left_bytes', '_sock', '_task')
 
-    def __init__(self, sock: Socket, encoded: bytes) -> None:
+    def __init__(self, sock: Socket, parts: Iterable[bytes | bytearray]) -> None:
         self._sock = sock
-        self._left = memoryview(encoded)
+        self._left = deque(map(memoryview, parts))
+        self._left_bytes = sum(map(len, self._left))
         self._task: Greenlet | None = None
 
     def __enter__(self) -> Self:
@@ -48,13 +51,13 @@
 
     def __repr__(self) -> str:
         """Return a short description for debugging."""
-        return f'<RequestWriter left={len(self._left)}>'
+        return f'<RequestWriter left={self._left_bytes}>'
 
     def start(self) -> None:
         """Write what the socket takes at once, and leave the rest to a task."""
         try:
             with suppress(BlockingIOError):
-                self._write(timeout_s=0)
+                self._write_all(timeout_s=0)
         except OSError:
             # The server may have answered before it closed, so the answer is read.
             return
@@ -92,19 +95,24 @@
             return
         with gevent.Timeout(max(0, longest_s), exception=False):
             before = 0
-            while not task.ready() and len(self._left) != before:
-                before = len(self._left)
+            while not task.ready() and self._left_bytes != before:
+                before = self._left_bytes
                 task.join(stall_s)
 
     def _write_rest(self) -> None:
         try:
-            while self._left:
-                self._write(timeout_s=None)
+            self._write_all(timeout_s=None)
         except OSError:
             # The end of the connection is found by the reader of the answer.
             return
 
-    def _write(self, timeout_s: float | None) -> None:
+    def _write_all(self, timeout_s: float | None) -> None:
         # The socket's own timeout is that of the reader.
-        sent = self._sock.send(self._left, timeout=timeout_s)
-        self._left = self._left[sent:]
+        while self._left:
+            part = self._left[0]
+            sent = self._sock.send(part, timeout=timeout_s)
+            self._left_bytes -= sent
+            if sent < len(part):
+                self._left[0] = part[sent:]
+            else:
+                self._left.popleft()
