Ramp up targets that start or recover, by how they answer

Change: RampUp (direct/rampup, no I/O) keeps a level of requests that the fleet may have at a target; each instance sends its share of it by rank. Good answers and time raise it, refusals, failures and slow answers halve it; heartbeats tell the level after bad answers (ramp_levels, appended). One mechanism for a cold start or return, a restart under the old id, the end of an ejection, an evacuation or a pause. The cold limit stands above it unchanged. In force only with overload control; otherwise decisions are as before (tested).

No existing test was changed.

--- a/currantmast/direct/attempts.py
+++ b/currantmast/direct/attempts.py
@@ -165,6 +165,7 @@
         self.target_ids.append(choice.target.record.id)
         self._sent += 1
         self._state.target_limits.take_token(choice.target.record.id)
+        choice.target.ramp_up.note_sent()
         service = self._find_service()
         if service is not None and choice.target.cold_start.is_cold():
             rate = self._get_cold_rate(choice.target, service)
@@ -240,7 +241,9 @@
         allowed_regions = self._admission.allowed_regions
         if allowed_regions and target.record.location.region not in allowed_regions:
             return False
-        if target.record.id in self.target_ids:
+        if target.record.id in self.target_ids or not self._state.ramping.may_send(
+            target
+        ):
             return False
         if service is None or not service.cold_rate or not target.cold_start.is_cold():
             return True
--- a/currantmast/direct/coldstart.py
+++ b/currantmast/direct/coldstart.py
@@ -22,11 +22,12 @@
         Source of time.
     """
 
-    __slots__ = ('_bucket', '_clock', '_until')
+    __slots__ = ('_bucket', '_clock', '_starts_full', '_until')
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._bucket = TokenBucket(clock)
+        self._starts_full = False
         self._until = clock.now()
 
     def __repr__(self) -> str:
@@ -37,6 +38,15 @@
         """Treat the target as cold for `seconds` from now."""
         self._until = max(self._until, self._clock.now() + seconds)
 
+    @property
+    def ends_at(self) -> float:
+        """Time at which the target is, or was, no longer cold."""
+        return self._until
+
+    def start_full(self) -> None:
+        """Let the bucket hold its one token at once, if this instance may send."""
+        self._starts_full = True
+
     def is_cold(self) -> bool:
         """Return whether the target is cold."""
         return self._clock.now() < self._until
@@ -44,6 +54,9 @@
     def has_token(self, rate: float) -> bool:
         """Return whether a request may be sent now, at `rate` requests per second."""
         self._bucket.resize(rate, 1)
+        if self._starts_full and rate > 0:
+            self._bucket.add(1)
+        self._starts_full = False
         return self._bucket.count() >= 1
 
     def take_token(self, rate: float) -> None:
@@ -81,6 +94,11 @@
         self._members = tuple(members)
         self._ranks.clear()
 
+    @property
+    def member_count(self) -> int:
+        """Number of members, from which the senders are selected."""
+        return len(self._members)
+
     def get_rate(self, target: TargetRecord, service: Service, bounds: Bounds) -> float:
         """Return the requests per second that this instance may send, possibly 0.
 
@@ -89,11 +107,15 @@
         limit = service.cold_rate * bounds.cold_factor + bounds.cold_extra
         wanted = max(1, int(limit * SENDERS_PER_RATE))
         senders = min(wanted, len(self._members))
-        if self._rank(target) >= senders:
+        if self.get_rank(target) >= senders:
             return 0
         return max(0, limit / senders - 1)
 
-    def _rank(self, target: TargetRecord) -> int:
+    def get_rank(self, target: TargetRecord) -> int:
+        """Return the rank of this instance among the senders, from 0.
+
+        It is the number of members if this instance is none of them.
+        """
         rank = self._ranks.get(target.id)
         if rank is None:
             rank = self._compute_rank(target)
--- a/currantmast/direct/heartbeats.py
+++ b/currantmast/direct/heartbeats.py
@@ -176,6 +176,7 @@
             loads=keep_largest(state.targets.count_loads(), MAX_LOADS),
             target_limits=state.target_limits.make_report(),
             spillover=state.placement.spillover.make_report(),
+            ramp_levels=state.ramping.list_told(),
         )
 
     def _send_to(self, peer: InstanceRecord, heartbeat: Heartbeat) -> None:
@@ -241,6 +242,7 @@
             state.rate_limiter.update_peers(state.list_demands())
             state.target_limits.update_peers(state.list_limited_demands())
         state.targets.update_peer_loads(state.members.reports.sum_loads())
+        state.ramping.note_peers(state.members.reports.list_ramp_levels())
         self._update_spillover()
 
     def _update_spillover(self) -> None:
--- a/currantmast/direct/instance_state.py
+++ b/currantmast/direct/instance_state.py
@@ -17,6 +17,7 @@
     TargetRecord,
 )
 from currantmast.direct.placement import Placement
+from currantmast.direct.ramping import Ramping
 from currantmast.direct.rates import FleetRateLimiter
 from currantmast.direct.retries import RetryBudgets
 from currantmast.direct.stopping import PlannedStop
@@ -48,6 +49,7 @@
         self.targets = TargetTable(clock)
         self.target_limits = TargetLimits(clock)
         self.cold_start_limit = ColdStartLimit(own.id)
+        self._ramping = Ramping(self.configuration, self.targets, self.cold_start_limit)
         self.placement = Placement(own.location, clock)
         self.rate_limiter = FleetRateLimiter(clock)
         self.retries = RetryBudgets(clock)
@@ -72,6 +74,11 @@
         """Whether the members were listed."""
         return self.members_listed_at < math.inf
 
+    @property
+    def ramping(self) -> Ramping:
+        """Ramp-ups of all targets."""
+        return self._ramping
+
     @property
     def leaving(self) -> bool:
         """Whether the planned stop of this instance has begun."""
--- a/currantmast/direct/queries.py
+++ b/currantmast/direct/queries.py
@@ -66,6 +66,7 @@
             ),
             'targets': len(state.targets),
             'targets_limited': len(state.target_limits),
+            'targets_ramping': len(state.ramping),
             'members': len(state.members),
             'members_ready': len(state.members.list_ready()),
             'entry_instances': len(state.members.entries),
--- a/currantmast/direct/reports.py
+++ b/currantmast/direct/reports.py
@@ -62,6 +62,9 @@
     target_limits : TargetLimitReport or None
         What the sender knows of targets with limits, and sends to them; left out of
         brief heartbeats.
+    ramp_levels : dict of int
+        Requests that all members together may have at targets that ramp up and gave the
+        sender bad answers, by target id.
     """
 
     sender: str
@@ -77,6 +80,7 @@
     brief: bool = False
     store: StoreContact | None = None
     target_limits: TargetLimitReport | None = None
+    ramp_levels: dict[str, int] = {}
 
     @property
     def has_demand(self) -> bool:
@@ -158,6 +162,22 @@
                 loads.update(received.heartbeat.loads)
         return loads
 
+    def list_ramp_levels(self) -> dict[str, int]:
+        """Return the second lowest level that members told, by target id.
+
+        Bad answers to one member alone may concern only its way to the target.
+        """
+        levels: dict[str, list[int]] = {}
+        for member_id, received in self._received.items():
+            if self._is_recent(member_id):
+                for name, level in received.heartbeat.ramp_levels.items():
+                    levels.setdefault(name, []).append(level)
+        return {
+            target_id: sorted(told)[1]
+            for target_id, told in levels.items()
+            if len(told) > 1
+        }
+
     def _list_reporting(self, expected_ids: Set[str]) -> Set[str]:
         reserves = {
             member_id
--- a/currantmast/direct/steering.py
+++ b/currantmast/direct/steering.py
@@ -20,6 +20,7 @@
 from currantmast.direct.inbound import InboundRequest, OutboundAnswer
 from currantmast.direct.instance_state import InstanceState
 from currantmast.direct.model import Route, Team
+from currantmast.direct.rampup import RampCause
 from currantmast.direct.rates import RateExceeded, SharesUnknown
 from currantmast.direct.refusals import encode_refusal
 from currantmast.direct.requests import (
@@ -270,6 +271,8 @@
             notices.note_leaving(target.record.id)
         if target_answer.pause_s:
             notices.note_pause(target.record.id, target_answer.pause_s)
+            slots = target.record.slots
+            target.ramp_up.begin(RampCause.pause, slots, target_answer.pause_s)
 
     def _record_success(
         self, admission: Admission, choice: Choice, elapsed_s: float
@@ -283,6 +286,7 @@
         )
         usual_processing_s = processing_times.get(admission.service, 1 if cached else 0)
         target.history.note_success(processing_s / usual_processing_s)
+        target.ramp_up.note_answer(processing_s / usual_processing_s)
         processing_times.note(admission.service, processing_s)
         if choice.chance > 0 and admission.object_key:
             target.note_hit(
--- a/currantmast/direct/targets.py
+++ b/currantmast/direct/targets.py
@@ -10,6 +10,7 @@
 from currantmast.direct.listedruns import ListedRuns
 from currantmast.direct.model import TargetRecord, TargetState
 from currantmast.direct.notices import TargetNotices
+from currantmast.direct.rampup import RampCause, RampUp
 from currantmast.runtime.logs import log_event
 
 # Objects that a target is assumed to cache.
@@ -186,6 +187,7 @@
         'ejection',
         'in_flight',
         'peers_in_flight',
+        'ramp_up',
         'record',
     )
 
@@ -197,6 +199,9 @@
         self.cold_start = ColdStart(clock)
         self.cold_start.mark(record.cold_left_s)
         self.ejection = Ejection(clock)
+        self.ramp_up = RampUp(
+            clock, record.id, record.slots, is_cold=record.cold_left_s > 0
+        )
         self._history = History(clock.now())
         self._reported_at = -math.inf
         self._shed_limit: tuple[int, float] = (0, 0)
@@ -226,12 +231,15 @@
     def mark_cold(self, seconds: float) -> None:
         """Treat the target as cold, with an empty cache, for `seconds` from now."""
         if seconds > 0:
+            if not self.cold_start.is_cold():
+                self.ramp_up.begin(RampCause.cold, self.record.slots)
             self.cold_start.mark(seconds)
             self._cached.clear()
 
     def note_report(self, load: Load) -> None:
         """Set the other members' requests from the load reported with an answer."""
         self.peers_in_flight = max(0, load.running + load.waiting - self.in_flight)
+        self.ramp_up.note_slowdown(load.slowdown)
         self._reported_at = self._clock.now()
 
     def record_peer_load(self, in_flight: int) -> None:
@@ -265,6 +273,7 @@
     def note_failure(self) -> None:
         """Record a failed request or broken connection, and eject after several."""
         self.history.note_failure(SLOWNESS_WEIGHT)
+        self.ramp_up.note_failure()
         if self._history.failures >= EJECT_AFTER and not self.ejection:
             self.ejection.begin()
             log_event(
@@ -278,6 +287,7 @@
         """Record that the target shed a request, and limit its load for a while."""
         self.history.failure_rate += SHED_WEIGHT * (1 - self._history.failure_rate)
         self._shed_limit = (max(1, self.load - 1), self._clock.now() + SHED_S)
+        self.ramp_up.note_refusal()
 
     def note_probe(self, healthy: bool, cold_s: float) -> None:
         """Record the result of a probe; a recovered target is cold for `cold_s`."""
@@ -285,6 +295,7 @@
         if healthy:
             self._history.failures = 0
             self.mark_cold(cold_s)
+            self.ramp_up.begin(RampCause.ejection, self.record.slots)
 
 
 class TargetTable:
@@ -331,7 +342,10 @@
             self._put_in(listed)
         else:
             self.remove(record.id)
-            self._put_in(Target(record, self._clock))
+            target = Target(record, self._clock)
+            if listed is not None:
+                target.ramp_up.begin(RampCause.restart, record.slots)
+            self._put_in(target)
 
     def remove(self, target_id: str) -> None:
         """Remove a target, if it is listed."""
@@ -363,6 +377,7 @@
         for target in self._targets.values():
             if target.record.location.failure_domain in restored:
                 target.mark_cold(cold_s)
+                target.ramp_up.begin(RampCause.evacuation, target.record.slots)
 
     def update_peer_loads(self, loads: dict[str, int]) -> None:
         """Set the number of requests that the other members have at each target."""
