--- a/currantmast/direct/heartbeats.py
+++ b/currantmast/direct/heartbeats.py
@@ -177,6 +177,7 @@
             target_limits=state.target_limits.make_report(),
             spillover=state.placement.spillover.make_report(),
             crashes=state.targets.crashing_requests.make_report(),
+            ramp_levels=state.ramping.list_told(),
         )
 
     def _send_to(self, peer: InstanceRecord, heartbeat: Heartbeat) -> None:
@@ -243,6 +244,7 @@
             state.rate_limiter.update_peers(state.list_demands())
             state.target_limits.update_peers(state.list_limited_demands())
         state.targets.update_peer_loads(state.members.reports.sum_loads())
+        state.ramping.note_peers(state.members.reports.list_ramp_levels())
         self._update_spillover()
 
     def _update_spillover(self) -> None:
--- a/currantmast/direct/reports.py
+++ b/currantmast/direct/reports.py
@@ -65,6 +65,9 @@
         brief heartbeats.
     crashes : dict of tuple of str
         Targets that crashed while they ran a request, by its fingerprint.
+    ramp_levels : dict of int
+        Requests that all members together may have at targets that ramp up and gave the
+        sender bad answers, by target id.
     """
 
     sender: str
@@ -81,6 +84,7 @@
     store: StoreContact | None = None
     target_limits: TargetLimitReport | None = None
     crashes: CrashReport = {}
+    ramp_levels: dict[str, int] = {}
 
     @property
     def has_demand(self) -> bool:
@@ -162,6 +166,22 @@
                 loads.update(received.heartbeat.loads)
         return loads
 
+    def list_ramp_levels(self) -> dict[str, int]:
+        """Return the second lowest level that members told, by target id.
+
+        Bad answers to one member alone may concern only its way to the target.
+        """
+        levels: dict[str, list[int]] = {}
+        for member_id, received in self._received.items():
+            if self._is_recent(member_id):
+                for name, level in received.heartbeat.ramp_levels.items():
+                    levels.setdefault(name, []).append(level)
+        return {
+            target_id: sorted(told)[1]
+            for target_id, told in levels.items()
+            if len(told) > 1
+        }
+
     def _list_reporting(self, expected_ids: Set[str]) -> Set[str]:
         reserves = {
             member_id
--- a/currantmast/direct/steering.py
+++ b/currantmast/direct/steering.py
@@ -24,6 +24,7 @@
 from currantmast.direct.instance_state import InstanceState
 from currantmast.direct.model import Route, Team
 from currantmast.direct.notices import TargetNotices
+from currantmast.direct.rampup import RampCause
 from currantmast.direct.rates import RateExceeded, SharesUnknown
 from currantmast.direct.refusals import encode_refusal
 from currantmast.direct.requests import (
@@ -335,6 +336,7 @@
         )
         usual_processing_s = processing_times.get(admission.service, 1 if cached else 0)
         target.history.note_success(processing_s / usual_processing_s)
+        target.ramp_up.note_answer(processing_s / usual_processing_s)
         processing_times.note(admission.service, processing_s)
         if choice.chance > 0 and admission.object_key:
             target.note_hit(
@@ -445,6 +447,8 @@
         notices.note_leaving(target.record.id)
     if target_answer.pause_s:
         notices.note_pause(target.record.id, target_answer.pause_s)
+        slots = target.record.slots
+        target.ramp_up.begin(RampCause.pause, slots, target_answer.pause_s)
 
 
 def _encode_result(wire: WireFormat, result: AttemptResult) -> OutboundAnswer:
