Place requests by cost under overload control

Cause: a target's slowdown was read and used by nobody; an object key of two routes counted as one object though targets cache it as two; the copy in another region was assumed to be cached half the time; which requests crossed followed from the object's rank, not from who gains; an object that no free target cached was refused beside free slots; half of the requests crossed failure domains inside the region.

Change, only with overload control: CostPlacement compares the few targets that may cache the object.

--- a/currantmast/direct/attempts.py
+++ b/currantmast/direct/attempts.py
@@ -47,6 +47,8 @@
         Time after which no answer is awaited.
     objective_at : float
         Time after which the answer misses the latency objective of the route.
+    by_cost : bool
+        Whether overload control places it.
     """
 
     call: CallerRequest
@@ -57,11 +59,19 @@
     started_at: float
     deadline_at: float
     objective_at: float
+    by_cost: bool = False
 
     @property
     def object_key(self) -> str:
-        """Object that the request has affinity for; empty for none."""
-        return self.call.object_key if self.route.has_affinity else ''
+        """Object that the request has affinity for; empty for none.
+
+        Targets cache the same key of two routes as two objects.
+        """
+        if not self.route.has_affinity or not self.call.object_key:
+            return ''
+        if self.by_cost:
+            return f'{self.route.name}|{self.call.object_key}'
+        return self.call.object_key
 
 
 class Answered(msgspec.Struct, frozen=True):
@@ -150,6 +160,9 @@
             time_left_s=admission.deadline_at - now,
             objective_left_s=admission.objective_at - now,
             limited=limited,
+            work=admission.route.name,
+            by_cost=admission.by_cost,
+            absent=self._list_absent(usable) if admission.by_cost else (),
         )
         choice = self._state.placement.choose(requirements, usable)
         if isinstance(choice, NoCapacity):
@@ -237,8 +250,7 @@
         return min((pause_s for pause_s in pauses if pause_s), default=math.inf)
 
     def _allows(self, target: Target, service: Service | None) -> bool:
-        allowed_regions = self._admission.allowed_regions
-        if allowed_regions and target.record.location.region not in allowed_regions:
+        if not self._serves_region(target):
             return False
         if target.record.id in self.target_ids:
             return False
@@ -246,6 +258,20 @@
             return True
         return target.cold_start.has_token(self._get_cold_rate(target, service))
 
+    def _list_absent(self, usable: list[Target]) -> tuple[Target, ...]:
+        """Return the other targets that objects are assigned to."""
+        admission = self._admission
+        used = {target.record.id for target in usable}
+        return tuple(
+            target
+            for target in self._state.targets.list_listed(admission.service)
+            if target.record.id not in used and self._serves_region(target)
+        )
+
+    def _serves_region(self, target: Target) -> bool:
+        allowed_regions = self._admission.allowed_regions
+        return not allowed_regions or target.record.location.region in allowed_regions
+
     def _find_service(self) -> Service | None:
         config: Configuration | None = self._state.configuration.value
         return config.services.get(self._admission.service) if config else None
--- a/currantmast/direct/choices.py
+++ b/currantmast/direct/choices.py
@@ -4,8 +4,9 @@
 
 import msgspec
 
+from currantmast.direct.copies import CopyKind
 from currantmast.direct.targetlimits import LimitedTargets
-from currantmast.direct.targets import Target
+from currantmast.direct.targets import LoadKnowledge, Target
 
 
 class Requirements(msgspec.Struct, frozen=True):
@@ -23,6 +24,13 @@
         Seconds until the answer misses the latency objective of the route.
     limited : LimitedTargets
         Targets whose own limits leave no token for the request.
+    work : str
+        Kind of work, for which processing times are averaged; empty for the service's.
+    by_cost : bool
+        Whether overload control places the request.
+    absent : tuple of Target
+        Targets that are listed but may not get the request now. Objects are assigned to
+        them all the same.
     """
 
     service: str
@@ -30,6 +38,9 @@
     time_left_s: float
     objective_left_s: float
     limited: LimitedTargets = LimitedTargets()
+    work: str = ''
+    by_cost: bool = False
+    absent: tuple[Target, ...] = ()
 
 
 class SpilloverReason(Enum):
@@ -67,6 +78,12 @@
         Running and queued requests of the target, as known when it was compared.
     spillover_reason : SpilloverReason
         Why the target is in another region; `none` when it is in the local one.
+    copy : CopyKind or None
+        Why the target may cache the object; None without overload control.
+    knowledge : LoadKnowledge or None
+        What was known of the target's load; None without overload control.
+    price_s : float
+        Price of crossing to another region at that moment, in seconds.
     """
 
     target: Target
@@ -78,6 +95,9 @@
     candidates: int
     load: int = 0
     spillover_reason: SpilloverReason = SpilloverReason.none
+    copy: CopyKind | None = None
+    knowledge: LoadKnowledge | None = None
+    price_s: float = 0
 
     @property
     def expected_s(self) -> float:
--- a/currantmast/direct/heartbeats.py
+++ b/currantmast/direct/heartbeats.py
@@ -23,7 +23,9 @@
     encode_heartbeat,
     keep_largest,
 )
+from currantmast.direct.slowdowns import SlowdownReports, collect_reports
 from currantmast.direct.spillover import measure_capacity
+from currantmast.direct.targets import TargetTable
 from currantmast.messages import Address
 from currantmast.runtime.logs import log_event
 
@@ -176,6 +178,10 @@
             loads=keep_largest(state.targets.count_loads(), MAX_LOADS),
             target_limits=state.target_limits.make_report(),
             spillover=state.placement.spillover.make_report(),
+            slowdowns=collect_reports(
+                (target.record.id, target.slowdown)
+                for target in state.targets.list_all()
+            ),
         )
 
     def _send_to(self, peer: InstanceRecord, heartbeat: Heartbeat) -> None:
@@ -211,6 +217,7 @@
         if heartbeat.store is not None:
             state.store_health.note_peer(heartbeat.sender, heartbeat.store)
         self._note_limits(heartbeat)
+        _note_slowdowns(state.targets, heartbeat.slowdowns)
         confirmation = heartbeat.confirmation
         local_incarnation = state.members.own.incarnation
         if (
@@ -264,3 +271,10 @@
 def _is_active(members: Members, member_id: str) -> bool:
     """Return whether a member is an entry instance or serves callers all the same."""
     return member_id in members.entries or members.reports.has_demand(member_id)
+
+
+def _note_slowdowns(targets: TargetTable, reports: SlowdownReports) -> None:
+    for target_id, report in reports.items():
+        target = targets.get(target_id)
+        if target is not None:
+            target.slowdown.note_peer(report)
--- a/currantmast/direct/placement.py
+++ b/currantmast/direct/placement.py
@@ -22,6 +22,7 @@
     Requirements,
     SpilloverReason,
 )
+from currantmast.direct.costplacement import CostPlacement
 from currantmast.direct.estimates import ObjectCounts, ProcessingTimes, RoundTripTimes
 from currantmast.direct.model import Location
 from currantmast.direct.spillover import SpilloverControl
@@ -66,6 +67,7 @@
 
     __slots__ = (
         '_location',
+        'by_cost',
         'object_counts',
         'processing_times',
         'round_trips',
@@ -78,6 +80,9 @@
         self.round_trips = RoundTripTimes(location.region)
         self.object_counts = ObjectCounts()
         self.processing_times = ProcessingTimes()
+        self.by_cost = CostPlacement(
+            location, self.spillover, self.round_trips, self.object_counts
+        )
 
     def __repr__(self) -> str:
         """Return a short description for debugging."""
@@ -87,6 +92,8 @@
         self, requirements: Requirements, targets: Iterable[Target]
     ) -> Choice | NoCapacity:
         """Return the target of lowest cost that has capacity and would answer in time."""
+        if requirements.by_cost:
+            return self.by_cost.choose(requirements, targets)
         candidates = list(targets)
         affinity_targets = AffinityTargets()
         if requirements.object_key:
--- a/currantmast/direct/queries.py
+++ b/currantmast/direct/queries.py
@@ -5,6 +5,7 @@
 from currantmast.direct.members import choose_lookup_instances
 from currantmast.direct.meters import Meter
 from currantmast.direct.requests import WireFormat
+from currantmast.direct.targets import summarize_loads
 from currantmast.direct.updates import Topic
 
 # Seconds for which callers may cache a look-up answer. Short, since a new look-up is how
@@ -69,6 +70,8 @@
             'members': len(state.members),
             'members_ready': len(state.members.list_ready()),
             'entry_instances': len(state.members.entries),
+            'crossing_price_seconds': state.placement.by_cost.highest_price_s,
+            **summarize_loads(state.targets.list_all()),
         }
         for name, value in gauges.items():
             self._meter.set_gauge(name, value)
--- a/currantmast/direct/reports.py
+++ b/currantmast/direct/reports.py
@@ -8,6 +8,7 @@
 from currantmast.clocks import Clock
 from currantmast.direct.demands import DemandReport
 from currantmast.direct.freshness import Confirmation
+from currantmast.direct.slowdowns import SlowdownReports
 from currantmast.direct.spillover import SpilloverReports
 from currantmast.direct.storehealth import StoreContact
 from currantmast.direct.targetlimits import TargetLimitReport
@@ -62,6 +63,8 @@
     target_limits : TargetLimitReport or None
         What the sender knows of targets with limits, and sends to them; left out of
         brief heartbeats.
+    slowdowns : dict of SlowdownReport
+        Slowdowns that targets reported to the sender a moment ago, by target id.
     """
 
     sender: str
@@ -77,6 +80,7 @@
     brief: bool = False
     store: StoreContact | None = None
     target_limits: TargetLimitReport | None = None
+    slowdowns: SlowdownReports = {}
 
     @property
     def has_demand(self) -> bool:
--- a/currantmast/direct/spillover.py
+++ b/currantmast/direct/spillover.py
@@ -269,6 +269,10 @@
         """Return the share of a service's requests that is assigned to other regions."""
         return self._get_or_add(service).share
 
+    def count_recent(self, service: str) -> float:
+        """Return this instance's recent requests that could run on either side."""
+        return self._get_or_add(service).recent_requests
+
     def belongs_remote(self, service: str, rank: float | None) -> bool:
         """Return whether a request is assigned to the other regions.
 
--- a/currantmast/direct/steering.py
+++ b/currantmast/direct/steering.py
@@ -16,6 +16,7 @@
     get_reported_load,
 )
 from currantmast.direct.choices import Choice, NoCapacity
+from currantmast.direct.costs import Work
 from currantmast.direct.exchanges import TargetConnections
 from currantmast.direct.inbound import InboundRequest, OutboundAnswer
 from currantmast.direct.instance_state import InstanceState
@@ -29,7 +30,7 @@
     TargetAnswer,
     WireFormat,
 )
-from currantmast.direct.targets import Target
+from currantmast.direct.targets import Load, Target
 from currantmast.direct.updates import Topic
 from currantmast.errors import (
     AnswerIncomplete,
@@ -157,6 +158,7 @@
             started_at=received_at,
             deadline_at=_find_deadline(call, route, received_at),
             objective_at=received_at + route.latency_objective_s,
+            by_cost=self._state.configuration.has_overload_control,
         )
 
     def _send_with_retries(
@@ -248,7 +250,7 @@
         self._note_notices(target, target_answer)
         match target_answer.shed:
             case ShedReason.full:
-                target.note_shed()
+                target.note_shed(needs_load=admission.by_cost)
                 return NotRun(Reason.target_shed)
             case ShedReason.misdirected:
                 # Another target now listens on this address; the store's list of
@@ -259,7 +261,7 @@
         if target_answer.status >= SERVER_ERROR:
             target.note_failure()
         else:
-            self._record_success(admission, choice, elapsed_s)
+            self._record_success(admission, choice, elapsed_s, target_answer.load)
         if not target_answer.is_deliverable():
             return OutcomeUnknown(Reason.answer_incomplete)
         return Answered(answer, target_answer)
@@ -272,8 +274,18 @@
             notices.note_pause(target.record.id, target_answer.pause_s)
 
     def _record_success(
-        self, admission: Admission, choice: Choice, elapsed_s: float
+        self,
+        admission: Admission,
+        choice: Choice,
+        elapsed_s: float,
+        load: Load | None,
     ) -> None:
+        if admission.by_cost:
+            work = Work(admission.service, admission.route.name)
+            self._state.placement.by_cost.costs.note_answer(
+                work, choice, elapsed_s, load
+            )
+            return
         target = choice.target
         processing_s = max(0.001, elapsed_s - choice.round_trip_s - choice.wait_s)
         self._state.placement.note_served(admission.service, choice, elapsed_s)
@@ -371,6 +383,7 @@
             crossing=last_choice.spillover_reason.value if last_choice else None,
             load=last_choice.load if last_choice else None,
             reported=get_reported_load(result),
+            **_describe_costs(last_choice),
             things=self._state.placement.object_counts.count(admission.service),
             homes=','.join(sorted(admission.allowed_regions)),
             candidates=attempts.candidates,
@@ -385,6 +398,19 @@
         )
 
 
+def _describe_costs(choice: Choice | None) -> dict[str, object]:
+    """Return what overload control knew of the target, for the log."""
+    if choice is None or choice.knowledge is None:
+        return {}
+    return {
+        'copy': choice.copy.value if choice.copy else None,
+        'load_source': choice.knowledge.source.value,
+        'load_age_s': choice.knowledge.age_s,
+        'slowdown': choice.knowledge.slowdown,
+        'crossing_price_s': choice.price_s,
+    }
+
+
 def _find_deadline(call: CallerRequest, route: Route, received_at: float) -> float:
     limit_s = call.time_limit_s or DEFAULT_TIME_LIMIT_S
     return received_at + min(limit_s, route.timeout_s) - ANSWER_MARGIN_S
--- a/currantmast/direct/targets.py
+++ b/currantmast/direct/targets.py
@@ -1,7 +1,9 @@
 """Targets: their listed records, and their state as learned from answers and probes."""
 
 import math
-from collections import OrderedDict
+from collections import Counter, OrderedDict
+from collections.abc import Iterable
+from enum import Enum
 
 import msgspec
 
@@ -10,6 +12,7 @@
 from currantmast.direct.listedruns import ListedRuns
 from currantmast.direct.model import TargetRecord, TargetState
 from currantmast.direct.notices import TargetNotices
+from currantmast.direct.slowdowns import MIN_TOLD, Slowdown
 from currantmast.runtime.logs import log_event
 
 # Objects that a target is assumed to cache.
@@ -66,6 +69,36 @@
     slowdown: float | None = None
 
 
+class LoadSource(Enum):
+    """Where the known load of a target comes from.
+
+    The target reported it a moment ago (`told`), the members counted their requests in
+    heartbeats (`counted`), or only the instance's own requests are known (`guessed`).
+    """
+
+    told = 'told'
+    counted = 'counted'
+    guessed = 'guessed'
+
+
+class LoadKnowledge(msgspec.Struct, frozen=True):
+    """What is known of a target's load.
+
+    Parameters
+    ----------
+    source : LoadSource
+        Where the load comes from.
+    age_s : float
+        Seconds since it was known; the instance's own requests since then are counted.
+    slowdown : float
+        Expected ratio of the time that work takes now to the usual time.
+    """
+
+    source: LoadSource
+    age_s: float
+    slowdown: float = 1
+
+
 class Ejection:
     """Ejection of a failing target, which gets no requests until a probe succeeds.
 
@@ -179,6 +212,7 @@
     __slots__ = (
         '_cached',
         '_clock',
+        '_counted_at',
         '_history',
         '_reported_at',
         '_shed_limit',
@@ -187,6 +221,7 @@
         'in_flight',
         'peers_in_flight',
         'record',
+        'slowdown',
     )
 
     def __init__(self, record: TargetRecord, clock: Clock) -> None:
@@ -199,6 +234,8 @@
         self.ejection = Ejection(clock)
         self._history = History(clock.now())
         self._reported_at = -math.inf
+        self._counted_at = -math.inf
+        self.slowdown = Slowdown(clock)
         self._shed_limit: tuple[int, float] = (0, 0)
         self._cached: OrderedDict[str, None] = OrderedDict()
 
@@ -233,6 +270,7 @@
         """Set the other members' requests from the load reported with an answer."""
         self.peers_in_flight = max(0, load.running + load.waiting - self.in_flight)
         self._reported_at = self._clock.now()
+        self.slowdown.note(load.slowdown)
 
     def record_peer_load(self, in_flight: int) -> None:
         """Set the other members' requests from their heartbeats.
@@ -241,8 +279,22 @@
         """
         if self._clock.now() - self._reported_at >= REPORT_FRESH_S:
             self.peers_in_flight = in_flight
+            self._counted_at = self._clock.now()
+
+    def describe_load(self) -> LoadKnowledge:
+        """Return where the known load comes from, its age, and the present slowdown."""
+        now = self._clock.now()
+        newest = max(self._reported_at, self._counted_at)
+        if newest == -math.inf:
+            source = LoadSource.guessed
+        elif self._reported_at == newest:
+            source = LoadSource.told
+        else:
+            source = LoadSource.counted
+        age_s = 0 if source is LoadSource.guessed else now - newest
+        return LoadKnowledge(source, age_s, self.slowdown.factor)
 
-    def limit_load(self, max_load: int) -> int:
+    def limit_load(self, max_load: float) -> float:
         """Return the maximum load, which is lowered for a while after a shed request."""
         limit, until = self._shed_limit
         return min(max_load, limit) if self._clock.now() < until else max_load
@@ -274,9 +326,18 @@
                 failures=self._history.failures,
             )
 
-    def note_shed(self) -> None:
-        """Record that the target shed a request, and limit its load for a while."""
+    def note_shed(self, *, needs_load: bool = False) -> None:
+        """Record that the target shed a request, and limit its load for a while.
+
+        Parameters
+        ----------
+        needs_load : bool
+            Whether the limit requires that all slots were taken. A target that sheds with
+            slots free does so on purpose, and less load wouldn't change that.
+        """
         self.history.failure_rate += SHED_WEIGHT * (1 - self._history.failure_rate)
+        if needs_load and self.load <= self.record.slots:
+            return
         self._shed_limit = (max(1, self.load - 1), self._clock.now() + SHED_S)
 
     def note_probe(self, healthy: bool, cold_s: float) -> None:
@@ -346,7 +407,21 @@
     def list_usable(self, service: str) -> list[Target]:
         """Return the targets of `service` that may get requests."""
         return [
-            target for target in self.list_service(service) if self._is_usable(target)
+            target
+            for target in self.list_service(service)
+            if self._is_staying(target)
+            and not self.notices.get_pause(target.record.id) > 0
+        ]
+
+    def list_listed(self, service: str) -> list[Target]:
+        """Return the targets of `service` that are expected to serve requests.
+
+        These are the usable ones, and those that are absent for a moment: ejected ones and
+        those that want a pause. Objects are assigned to all of them, so that a short
+        absence moves none.
+        """
+        return [
+            target for target in self.list_service(service) if self._is_listed(target)
         ]
 
     def list_staying(self) -> list[Target]:
@@ -377,15 +452,14 @@
             if target.in_flight
         }
 
-    def _is_usable(self, target: Target) -> bool:
-        paused = self.notices.get_pause(target.record.id) > 0
-        return self._is_staying(target) and not paused
-
     def _is_staying(self, target: Target) -> bool:
+        return self._is_listed(target) and not target.ejection
+
+    def _is_listed(self, target: Target) -> bool:
         ready = target.record.state is TargetState.ready
         evacuated = target.record.location.failure_domain in self.evacuated
         leaving = self.notices.is_leaving(target.record.id)
-        return ready and not leaving and not evacuated and not target.ejection
+        return ready and not leaving and not evacuated
 
     def _put_in(self, target: Target) -> None:
         record = target.record
@@ -396,3 +470,14 @@
         record = target.record
         self._targets.pop(record.id)
         self._by_service[record.service].pop(record.id)
+
+
+def summarize_loads(targets: Iterable[Target]) -> dict[str, float]:
+    """Return what is known of all loads, as gauges: sources, age and slowdowns."""
+    known = [target.describe_load() for target in targets]
+    sources = Counter(load.source for load in known)
+    return {
+        **{f'loads_{source.value}': sources[source] for source in LoadSource},
+        'load_age_seconds': max((load.age_s for load in known), default=0),
+        'targets_slowed': sum(load.slowdown >= MIN_TOLD for load in known),
+    }
--- a/tests/fleetreplay.py
+++ b/tests/fleetreplay.py
@@ -11,8 +11,10 @@
 
 from currantmast.clocks import ManualClock
 from currantmast.direct.choices import NoCapacity, Requirements
+from currantmast.direct.costs import Work
 from currantmast.direct.model import InstanceRecord, Location, TargetRecord
 from currantmast.direct.placement import Placement
+from currantmast.direct.slowdowns import collect_reports
 from currantmast.direct.spillover import measure_capacity
 from currantmast.direct.targets import Load, Target
 from currantmast.messages import Address
@@ -32,6 +34,11 @@
 WINDOW_S = 2.0
 STEP_S = 0.25
 
+# Pace of targets that share their machines: how many work slower, how much, for how long.
+SLOW_FRACTION = 0.15
+SLOWDOWN = 2.5
+PACE_S = 0.6
+
 # Windows with fewer requests are skipped, since their shares are too uncertain.
 MIN_REQUESTS = 100
 
@@ -45,9 +52,14 @@
         self.running = 0
         self.queue = []
         self.cache = OrderedDict()
+        self.slowdown = 1
+        self.uncached_runs = 0
+        self.max_queue = 0
 
     def process(self, object_key):
         processing_s = CACHED_S if object_key in self.cache else UNCACHED_S
+        processing_s *= self.slowdown
+        self.uncached_runs += object_key not in self.cache
         self.cache[object_key] = None
         self.cache.move_to_end(object_key)
         if len(self.cache) > CACHE_SIZE:
@@ -61,7 +73,8 @@
     def __init__(self, name, region, records, clock):
         self.name = name
         self.region = region
-        self.placement = Placement(Location(region, f'{region}-a'), clock)
+        parity = int(name.rpartition('-')[2]) % 2
+        self.placement = Placement(Location(region, f'{region}-{parity}'), clock)
         self.targets = {record.id: Target(record, clock) for record in records}
         self.peer_loads = {}
         self.spillover_reports = {}
@@ -107,6 +120,12 @@
         Seconds between heartbeats.
     seed : int
         Seed of the random numbers.
+    by_cost : bool
+        Whether overload control places requests.
+    paced : bool
+        Whether each region has two failure domains, and the pace of targets changes.
+    shed_fraction : float
+        Part of the requests that targets shed whatever their load.
 
     Attributes
     ----------
@@ -116,7 +135,20 @@
         Numbers of requests by outcome.
     """
 
-    def __init__(self, targets, members, objects=97, slots=3, heartbeat_s=0.6, seed=1):
+    def __init__(
+        self,
+        targets,
+        members,
+        objects=97,
+        slots=3,
+        heartbeat_s=0.6,
+        seed=1,
+        by_cost=False,
+        paced=False,
+        shed_fraction=0,
+    ):
+        self.by_cost = by_cost
+        self.shed_fraction = shed_fraction
         self.clock = ManualClock(0)
         self.rng = random.Random(seed)
         self.objects = objects
@@ -128,7 +160,7 @@
                 f'{region}-{number}',
                 SERVICE,
                 UNUSED_ADDRESS,
-                Location(region, region),
+                Location(region, f'{region}-{number % 2}' if paced else region),
                 slots,
             )
             for region, amount in targets.items()
@@ -159,11 +191,19 @@
         ]
         self.ran = {region: [] for region in members}
         self.outcomes = Counter()
+        if paced:
+            self.schedule(0, self.change_paces)
         for member in self.members:
             self.schedule(
                 self.rng.random() * heartbeat_s, self.send_heartbeat, member, 0
             )
 
+    def change_paces(self):
+        for simulated in self.simulated_targets.values():
+            is_slow = self.rng.random() < SLOW_FRACTION
+            simulated.slowdown = SLOWDOWN if is_slow else 1
+        self.schedule(self.clock.now() + PACE_S, self.change_paces)
+
     def schedule(self, when, job, *args):
         heapq.heappush(self.events, (when, next(self.order), job, args))
 
@@ -197,7 +237,12 @@
         now = self.clock.now()
         left_s = started + TIMEOUT_S - now
         requirements = Requirements(
-            SERVICE, object_key, left_s, started + OBJECTIVE_S - now
+            SERVICE,
+            object_key,
+            left_s,
+            started + OBJECTIVE_S - now,
+            work=SERVICE,
+            by_cost=self.by_cost,
         )
         usable = [
             target for name, target in member.targets.items() if name not in tried_ids
@@ -217,12 +262,15 @@
     def reach(self, job):
         member, choice, object_key, *_ = job
         simulated = self.simulated_targets[choice.target.record.id]
-        if simulated.running < simulated.slots:
+        if self.shed_fraction and self.rng.random() < self.shed_fraction:
+            self.schedule(self.clock.now() + job[6] / 2, self.shed, job)
+        elif simulated.running < simulated.slots:
             self.ran[member.region].append((self.clock.now(), simulated.region))
             self.begin(simulated, job)
         elif len(simulated.queue) < QUEUE_PER_SLOT * simulated.slots:
             self.ran[member.region].append((self.clock.now(), simulated.region))
             simulated.queue.append(job)
+            simulated.max_queue = max(simulated.max_queue, len(simulated.queue))
         else:
             self.schedule(self.clock.now() + job[6] / 2, self.shed, job)
 
@@ -237,6 +285,7 @@
             simulated.running,
             len(simulated.queue),
             simulated.slots,
+            simulated.slowdown,
         )
         if simulated.queue:
             self.begin(simulated, simulated.queue.pop(0))
@@ -245,7 +294,7 @@
     def shed(self, job):
         member, choice, object_key, started, _, tries, _, tried_ids = job
         choice.target.in_flight -= 1
-        choice.target.note_shed()
+        choice.target.note_shed(needs_load=self.by_cost)
         if tries > 1:
             self.offer(
                 member,
@@ -269,6 +318,11 @@
         placement.round_trips.note(
             target.record.location.region, job[6] if sent else job[6]
         )
+        self.outcomes['in time' if now - started <= OBJECTIVE_S else 'late'] += 1
+        if self.by_cost:
+            work = Work(SERVICE, SERVICE)
+            placement.by_cost.costs.note_answer(work, choice, elapsed_s, report)
+            return
         processing_s = max(0.001, elapsed_s - choice.round_trip_s - choice.wait_s)
         cached = placement.processing_times.was_cached(SERVICE, processing_s)
         usual_s = placement.processing_times.get(
@@ -280,15 +334,19 @@
             target.note_hit(
                 placement.processing_times.was_cached(SERVICE, processing_s)
             )
-        self.outcomes['in time' if now - started <= OBJECTIVE_S else 'late'] += 1
 
     def send_heartbeat(self, member, period):
         loads = member.count_loads()
+        slowdowns = collect_reports(
+            (name, target.slowdown) for name, target in member.targets.items()
+        )
         for other in self.members:
             if other is not member and (
                 period % 2 == 0 or other.region == member.region
             ):
                 other.peer_loads[member.name] = loads
+                for name, report in slowdowns.items():
+                    other.targets[name].slowdown.note_peer(report)
         member.spillover_reports[member.name] = member.placement.spillover.make_report()
         for other in self.members_by_region[member.region]:
             other.spillover_reports[member.name] = member.spillover_reports[member.name]
