--- a/currantmast/direct/reports.py
+++ b/currantmast/direct/reports.py
@@ -9,6 +9,7 @@
 from currantmast.direct.crashes import CrashReport
 from currantmast.direct.demands import DemandReport
 from currantmast.direct.freshness import Confirmation
+from currantmast.direct.slowdowns import SlowdownReports
 from currantmast.direct.spillover import SpilloverReports
 from currantmast.direct.storehealth import StoreContact
 from currantmast.direct.targetlimits import TargetLimitReport
@@ -68,6 +69,8 @@
     ramp_levels : dict of int
         Requests that all members together may have at targets that ramp up and gave the
         sender bad answers, by target id.
+    slowdowns : dict of SlowdownReport
+        Slowdowns that targets reported to the sender a moment ago, by target id.
     """
 
     sender: str
@@ -85,6 +88,7 @@
     target_limits: TargetLimitReport | None = None
     crashes: CrashReport = {}
     ramp_levels: dict[str, int] = {}
+    slowdowns: SlowdownReports = {}
 
     @property
     def has_demand(self) -> bool:
