--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -261,10 +261,13 @@
     assert kind.repeatable
 
 
-@pytest.mark.parametrize(('priority', 'expected'), [(0, True), (1, False)])
-def test_highest_priority_asks_for_overload_control(priority, expected):
+@pytest.mark.parametrize(
+    ('priority', 'public', 'expected'),
+    [(0, False, True), (0, True, False), (1, False, False)],
+)
+def test_highest_priority_asks_for_overload_control(priority, public, expected):
     config = copy.deepcopy(CONFIG)
-    config['resources'][0]['spec']['prio'] = priority
+    config['resources'][0]['spec'].update(prio=priority, public=public)
     decoded = decode_configuration('main', config)
     assert decoded.has_overload_control is expected
 
