--- a/currantmast/direct/model.py
+++ b/currantmast/direct/model.py
@@ -215,10 +215,13 @@
     def has_overload_control(self) -> bool:
         """Whether requests are queued, rejected and placed by overload control.
 
-        A configuration asks for it by ranking at least one route highest.
+        A configuration asks for it by ranking at least one route of its teams highest.
+        Routes that need no key belong to no team, and are often left without a rank.
         """
         return any(
-            route.is_readable and route.priority == HIGHEST_PRIORITY
+            route.is_readable
+            and route.priority == HIGHEST_PRIORITY
+            and not route.keyless
             for route in self.routes
         )
 
