Rank requests by urgency; share retries by it; order returns

Cause: when targets shed requests, the retry budget is what is short, and it went to whoever came first. One in five retries was taken for requests that then found no target or no time. Callers refused for want of room were all told nearly the same time.

--- a/currantmast/direct/attempts.py
+++ b/currantmast/direct/attempts.py
@@ -12,6 +12,7 @@
 from currantmast.direct.model import Configuration, Route, Service, Team
 from currantmast.direct.requests import CallerRequest, TargetAnswer
 from currantmast.direct.targets import Target
+from currantmast.direct.urgency import Urgency, make_urgency
 from currantmast.outcomes import NotRun, OutcomeUnknown, Reason
 
 # Limits in seconds of the time after which a refused caller may retry.
@@ -58,6 +59,11 @@
     deadline_at: float
     objective_at: float
 
+    @property
+    def urgency(self) -> Urgency:
+        """Priorities by which the request is ranked."""
+        return make_urgency(self.team, self.route)
+
     @property
     def object_key(self) -> str:
         """Object that the request has affinity for; empty for none."""
@@ -105,6 +111,8 @@
         # unreachable targets.
         self._sent = 0
         self._may_have_run = False
+        # Whether the next attempt is still to be taken from the retry budget.
+        self._owes_retry = False
         self._failed_answer: Answered | None = None
         self.last_choice: Choice | None = None
         self.candidates = 0
@@ -164,6 +172,9 @@
         self.candidates = choice.candidates
         self.target_ids.append(choice.target.record.id)
         self._sent += 1
+        if self._owes_retry:
+            self._owes_retry = False
+            self._state.retries.spend(self._admission.service, self._state.bounds)
         self._state.target_limits.take_token(choice.target.record.id)
         service = self._find_service()
         if service is not None and choice.target.cold_start.is_cold():
@@ -225,7 +236,16 @@
     def _take_retry(self) -> bool:
         if self._sent >= self._admission.route.attempts:
             return False
-        return self._state.retries.take(self._admission.service, self._state.bounds)
+        service = self._admission.service
+        ranks = self._state.configuration.ranks
+        if not ranks.enabled:
+            return self._state.retries.take(service, self._state.bounds)
+        # Taken when the attempt begins, as there may be no time or no target for it.
+        rank = ranks.get_rank(service, self._admission.urgency)
+        self._owes_retry = self._state.retries.has_left(
+            service, self._state.bounds, rank
+        )
+        return self._owes_retry
 
     def _get_pause(self) -> float:
         """Return in how many seconds the first target that wants a pause is back."""
--- a/currantmast/direct/configurations.py
+++ b/currantmast/direct/configurations.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 
 from currantmast.direct.model import Configuration, Route, Team, WeightedService
+from currantmast.direct.urgency import UrgencyRanks
 
 
 class RouteTable:
@@ -80,11 +81,12 @@
 class CurrentConfiguration:
     """The newest configuration seen by this process; an older one never replaces it."""
 
-    __slots__ = ('_routes', 'has_overload_control', 'value')
+    __slots__ = ('_routes', 'has_overload_control', 'ranks', 'value')
 
     def __init__(self) -> None:
         self.value: Configuration | None = None
         self.has_overload_control = False
+        self.ranks = UrgencyRanks()
         self._routes = RouteTable(())
 
     def __repr__(self) -> str:
@@ -102,6 +104,7 @@
             return False
         self.value = configuration
         self.has_overload_control = configuration.has_overload_control
+        self.ranks = UrgencyRanks(configuration)
         self._routes = RouteTable(configuration.routes)
         return True
 
--- a/currantmast/direct/refusals.py
+++ b/currantmast/direct/refusals.py
@@ -18,12 +18,24 @@
 )
 
 
-def encode_refusal(refusal: NotRun, after_s: float | None) -> OutboundAnswer:
-    """Return the answer for a refusal; `after_s` is a wait in seconds, within limits."""
+def encode_refusal(
+    refusal: NotRun, after_s: float | None, longest_s: float = MAX_RETRY_AFTER_S
+) -> OutboundAnswer:
+    """Return the answer for a refusal.
+
+    Parameters
+    ----------
+    refusal : NotRun
+        Why the request was refused.
+    after_s : float or None
+        Seconds after which the caller should come back; None to tell it nothing.
+    longest_s : float
+        Longest time in seconds that it is told.
+    """
     status = STATUSES.get(refusal.reason, HTTPStatus.SERVICE_UNAVAILABLE)
     headers: tuple[tuple[str, str], ...] = ()
     if after_s is not None:
-        bounded = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, after_s))
+        bounded = min(longest_s, max(MIN_RETRY_AFTER_S, after_s))
         headers = (('Retry-After', f'{bounded:.2f}'),)
     body = f'{refusal.reason.value}\n'.encode()
     return OutboundAnswer(status, (*headers, ('Content-Type', 'text/plain')), body)
--- a/currantmast/direct/steering.py
+++ b/currantmast/direct/steering.py
@@ -5,6 +5,7 @@
 from currantmast.clocks import Clock
 from currantmast.direct.answers import Answer
 from currantmast.direct.attempts import (
+    MAX_RETRY_AFTER_S,
     MIN_RETRY_AFTER_S,
     SERVER_ERROR,
     Admission,
@@ -29,6 +30,7 @@
     TargetAnswer,
     WireFormat,
 )
+from currantmast.direct.returns import RefusedCaller, ReturnTimes
 from currantmast.direct.targets import Target
 from currantmast.direct.updates import Topic
 from currantmast.errors import (
@@ -82,6 +84,7 @@
         self._connections = connections
         self._clock = clock
         self._meter = meter
+        self._returns = ReturnTimes(clock)
 
     def answer(self, inbound: InboundRequest) -> OutboundAnswer:
         """Return the answer to one request."""
@@ -91,6 +94,8 @@
             return admission
         attempts = Attempts(self._state, admission, self._clock)
         result = self._send_with_retries(inbound, admission, attempts)
+        if self._state.configuration.ranks.enabled:
+            result = self._plan_return(admission, result)
         self._log_result(admission, attempts, result)
         return self._encode(result)
 
@@ -162,7 +167,10 @@
     def _send_with_retries(
         self, inbound: InboundRequest, admission: Admission, attempts: Attempts
     ) -> AttemptResult:
-        self._state.retries.note_request(admission.service, self._state.bounds)
+        state = self._state
+        state.retries.note_request(
+            admission.service, state.bounds, ranked=state.configuration.ranks.enabled
+        )
         result: AttemptResult = NotRun(Reason.deadline)
         while attempts.has_attempt_left():
             choice = attempts.choose()
@@ -174,6 +182,24 @@
                 break
         return attempts.conclude(result)
 
+    def _plan_return(
+        self, admission: Admission, result: AttemptResult
+    ) -> AttemptResult:
+        """Return `result`; for want of room, with the time at which to come back.
+
+        After a target shed a request, another one may take it at once.
+        """
+        if isinstance(result, Answered):
+            self._returns.note_room(admission.service, admission.urgency)
+        if not isinstance(result, TryLater):
+            return result
+        limit_s = admission.call.time_limit_s or DEFAULT_TIME_LIMIT_S
+        left_s = admission.started_at + limit_s - self._clock.now()
+        caller = RefusedCaller(admission.call.request_id, result.after_s, left_s)
+        after_s = self._returns.book(admission.service, admission.urgency, caller)
+        self._meter.set_gauge('return_backlog_seconds', self._returns.measure_backlog())
+        return TryLater(result.refusal, after_s)
+
     def _send(
         self, inbound: InboundRequest, admission: Admission, choice: Choice
     ) -> AttemptResult:
@@ -331,7 +357,8 @@
             case Answered(answer):
                 return self._wire.encode_answer(answer)
             case TryLater(refusal, after_s):
-                return encode_refusal(refusal, after_s)
+                longest_s = max(MAX_RETRY_AFTER_S, after_s)
+                return encode_refusal(refusal, after_s, longest_s)
             case NotRun():
                 return encode_refusal(result, MIN_RETRY_AFTER_S)
             case OutcomeUnknown(Reason.deadline):
@@ -360,6 +387,8 @@
             team=admission.team.name if admission.team else None,
             service=admission.service,
             thing=admission.call.object_key,
+            urgency=str(admission.urgency),
+            retry_after_s=result.after_s if isinstance(result, TryLater) else None,
             tries=attempts.count,
             targets=','.join(attempts.target_ids),
             domain=last_choice.target.record.location.failure_domain
