--- a/currantmast/direct/steering.py
+++ b/currantmast/direct/steering.py
@@ -7,6 +7,7 @@
 from currantmast.clocks import Clock
 from currantmast.direct.answers import Answer
 from currantmast.direct.attempts import (
+    MAX_RETRY_AFTER_S,
     MIN_RETRY_AFTER_S,
     SERVER_ERROR,
     Admission,
@@ -23,6 +24,7 @@
 from currantmast.direct.exchanges import TargetConnections
 from currantmast.direct.inbound import Admitted, InboundRequest, OutboundAnswer
 from currantmast.direct.instance_state import InstanceState
+from currantmast.direct.meters import Meter
 from currantmast.direct.model import Route, Team
 from currantmast.direct.notices import TargetNotices
 from currantmast.direct.rampup import RampCause
@@ -35,6 +37,7 @@
     TargetAnswer,
     WireFormat,
 )
+from currantmast.direct.returns import RefusedCaller, ReturnTimes
 from currantmast.direct.targets import Load, Target
 from currantmast.direct.updates import Topic
 from currantmast.errors import (
@@ -96,6 +99,7 @@
         self._clock = clock
         self._meter = meter
         self._crash_watch = CrashWatch(state.targets.crashing_requests, connections)
+        self._returns = ReturnTimes(clock)
 
     def answer(self, inbound: InboundRequest) -> OutboundAnswer:
         """Return the answer to one request."""
@@ -107,6 +111,8 @@
             return self._refuse(call, Reason.quarantined, team=admission.team)
         attempts = Attempts(self._state, admission, self._clock)
         result = self._send_with_retries(inbound, admission, attempts)
+        if self._state.configuration.ranks.enabled:
+            result = self._plan_return(admission, result)
         self._log_result(admission, attempts, result)
         return _encode_result(self._wire, result)
 
@@ -218,7 +224,10 @@
     def _send_with_retries(
         self, inbound: InboundRequest, admission: Admission, attempts: Attempts
     ) -> AttemptResult:
-        self._state.retries.note_request(admission.service, self._state.bounds)
+        state = self._state
+        state.retries.note_request(
+            admission.service, state.bounds, ranked=state.configuration.ranks.enabled
+        )
         result: AttemptResult = NotRun(Reason.deadline)
         while attempts.has_attempt_left():
             choice = attempts.choose()
@@ -230,6 +239,24 @@
                 break
         return attempts.conclude(result)
 
+    def _plan_return(
+        self, admission: Admission, result: AttemptResult
+    ) -> AttemptResult:
+        """Return `result`; for want of room, with the time at which to come back.
+
+        After a target shed a request, another one may take it at once.
+        """
+        if isinstance(result, Answered):
+            self._returns.note_room(admission.service, admission.urgency)
+        if not isinstance(result, TryLater):
+            return result
+        limit_s = admission.call.time_limit_s or DEFAULT_TIME_LIMIT_S
+        left_s = admission.started_at + limit_s - self._clock.now()
+        caller = RefusedCaller(admission.call.request_id, result.after_s, left_s)
+        after_s = self._returns.book(admission.service, admission.urgency, caller)
+        self._meter.set_gauge('return_backlog_seconds', self._returns.measure_backlog())
+        return TryLater(result.refusal, after_s)
+
     def _send(
         self, inbound: InboundRequest, admission: Admission, choice: Choice
     ) -> AttemptResult:
@@ -251,7 +278,7 @@
             self._crash_watch.note_break(
                 inbound, admission.team_name, target.record, error
             )
-            self._log_oversize(admission, target, error)
+            _log_oversize(self._meter, admission, target, error)
             elapsed_s = self._clock.now() - started
             self._state.placement.note_served(admission.service, choice, elapsed_s)
             self._state.stop.note_answer(admission.service, elapsed_s)
@@ -263,19 +290,6 @@
             self._crash_watch.note_answer(inbound, admission.team_name)
         return result
 
-    def _log_oversize(
-        self, admission: Admission, target: Target, error: ExchangeBroken
-    ) -> None:
-        if isinstance(error, AnswerTooLarge):
-            self._meter.count_oversize(error.kind)
-            log_event(
-                'answer_too_large',
-                level='WARNING',
-                request=admission.call.request_id,
-                target=target.record.id,
-                kind=error.kind,
-            )
-
     def _exchange(
         self, inbound: InboundRequest, admission: Admission, target: Target
     ) -> Answer:
@@ -413,6 +427,8 @@
             team=admission.team.name if admission.team else None,
             service=admission.service,
             thing=admission.call.object_key,
+            urgency=str(admission.urgency),
+            retry_after_s=result.after_s if isinstance(result, TryLater) else None,
             tries=attempts.count,
             targets=','.join(attempts.target_ids),
             domain=last_choice.target.record.location.failure_domain
@@ -482,10 +498,25 @@
         case Answered(answer):
             return wire.encode_answer(answer)
         case TryLater(refusal, after_s):
-            return encode_refusal(refusal, after_s)
+            longest_s = max(MAX_RETRY_AFTER_S, after_s)
+            return encode_refusal(refusal, after_s, longest_s)
         case NotRun():
             return encode_refusal(result, MIN_RETRY_AFTER_S)
         case OutcomeUnknown(Reason.deadline):
             return OutboundAnswer(HTTPStatus.GATEWAY_TIMEOUT)
         case OutcomeUnknown():
             return OutboundAnswer(HTTPStatus.BAD_GATEWAY)
+
+
+def _log_oversize(
+    meter: Meter, admission: Admission, target: Target, error: ExchangeBroken
+) -> None:
+    if isinstance(error, AnswerTooLarge):
+        meter.count_oversize(error.kind)
+        log_event(
+            'answer_too_large',
+            level='WARNING',
+            request=admission.call.request_id,
+            target=target.record.id,
+            kind=error.kind,
+        )
