Let lasting slowdowns fade slowly, and give lone objects a third copy

Cause: a target that is slow for seconds reports it only with its few late answers, and looked usual again 0.3 s after each; one that answers nothing in time reported and taught nothing. Objects that their region doesn't keep had two targets, and were refused when one was slow and the other full.

Change: a slowdown that reports tell for a second fades with a half-life of 2 s, its end is passed on like its beginning; a timeout adds to the target's slowness; such objects have three targets in other regions.

--- a/currantmast/direct/copies.py
+++ b/currantmast/direct/copies.py
@@ -23,7 +23,7 @@
 from currantmast.direct.targets import CACHED_OBJECTS, Target
 
 # Targets in other regions for an object that the region of its callers doesn't cache.
-REMOTE_COPIES = 2
+REMOTE_COPIES = 3
 
 
 class CopyKind(Enum):
--- a/currantmast/direct/costs.py
+++ b/currantmast/direct/costs.py
@@ -198,6 +198,16 @@
         times.note(work.route, work_s)
         self._note_hit(work.service, choice, hit=hit)
 
+    def note_timeout(self, work: Work, choice: Choice, seconds: float) -> None:
+        """Learn from a request that got no answer within `seconds`.
+
+        A target that answers nothing in time reports no slowdown either.
+        """
+        usual_s = self._processing_times.get(work.route, choice.chance)
+        processing_s = max(0, seconds - choice.round_trip_s - choice.wait_s)
+        slowness = min(MAX_RECORDED_SLOWNESS, max(1, processing_s / usual_s))
+        choice.target.history.note_slowness(slowness)
+
     def _note_hit(self, service: str, choice: Choice, *, hit: bool) -> None:
         if choice.copy is not None:
             self._hit_rates.note(service, choice.copy, recent=choice.cached, hit=hit)
--- a/currantmast/direct/slowdowns.py
+++ b/currantmast/direct/slowdowns.py
@@ -11,15 +11,18 @@
 
 from currantmast.clocks import Clock
 
-# Half-life in seconds of a reported slowdown.
+# Half-life in seconds of a reported slowdown, and of one that lasts: reported for so long,
+# with no gap between reports that is longer and none that tells the usual pace.
 SLOWDOWN_HALF_LIFE_S = 0.3
+LASTING_HALF_LIFE_S = 2.0
+LASTING_S = 1.0
 
 # Limits of a reported slowdown.
 MIN_SLOWDOWN = 0.25
 MAX_SLOWDOWN = 20.0
 
 # Slowdowns that members tell each other: the newest reports of targets that are slower
-# than this, and how many at most.
+# than this or just were, and how many at most.
 MIN_TOLD = 1.25
 MAX_TOLD = 40
 MAX_TOLD_AGE_S = 0.5
@@ -52,7 +55,14 @@
         Source of time.
     """
 
-    __slots__ = ('_clock', '_factor', '_own_at', '_reported_at')
+    __slots__ = (
+        '_clock',
+        '_factor',
+        '_own_at',
+        '_reported_at',
+        '_slow_since',
+        '_was_slow',
+    )
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
@@ -60,6 +70,9 @@
         self._reported_at = -math.inf
         # Time of the last report that this instance got itself.
         self._own_at = -math.inf
+        # Time of the first of the last reports that all told a slowdown.
+        self._slow_since = math.inf
+        self._was_slow = False
 
     def __repr__(self) -> str:
         """Return a short description for debugging."""
@@ -69,7 +82,9 @@
     def factor(self) -> float:
         """Expected ratio of the time that work takes now to the usual time."""
         age_s = self._clock.now() - self._reported_at
-        return 1 + (self._factor - 1) * 0.5 ** (age_s / SLOWDOWN_HALF_LIFE_S)
+        lasts = self._reported_at - self._slow_since >= LASTING_S
+        half_life_s = LASTING_HALF_LIFE_S if lasts else SLOWDOWN_HALF_LIFE_S
+        return 1 + (self._factor - 1) * 0.5 ** (age_s / half_life_s)
 
     def note(self, factor: float | None) -> None:
         """Record a reported slowdown; None when the target reports none."""
@@ -88,11 +103,17 @@
         """Return the report for the other members; None when they need none."""
         age_s = self._clock.now() - self._own_at
         is_newest = self._own_at == self._reported_at
-        if not is_newest or age_s > MAX_TOLD_AGE_S or self._factor < MIN_TOLD:
+        is_needed = self._factor >= MIN_TOLD or self._was_slow
+        if not is_newest or age_s > MAX_TOLD_AGE_S or not is_needed:
             return None
         return SlowdownReport(round(self._factor * 100), round(age_s * 1000))
 
     def _put(self, factor: float, reported_at: float) -> None:
+        self._was_slow = self._factor >= MIN_TOLD
+        if factor < MIN_TOLD:
+            self._slow_since = math.inf
+        elif reported_at - self._reported_at > LASTING_S or not self._was_slow:
+            self._slow_since = reported_at
         self._factor = max(MIN_SLOWDOWN, min(MAX_SLOWDOWN, factor))
         self._reported_at = reported_at
 
--- a/currantmast/direct/steering.py
+++ b/currantmast/direct/steering.py
@@ -198,6 +198,11 @@
             elapsed_s = self._clock.now() - started
             self._state.placement.note_served(admission.service, choice, elapsed_s)
             self._state.stop.note_answer(admission.service, elapsed_s)
+            if admission.by_cost and isinstance(error, ProgressTimeout):
+                work = Work(admission.service, admission.route.name)
+                self._state.placement.by_cost.costs.note_timeout(
+                    work, choice, elapsed_s
+                )
             return OutcomeUnknown(_get_failure_reason(error))
         finally:
             target.in_flight -= 1
--- a/currantmast/direct/targets.py
+++ b/currantmast/direct/targets.py
@@ -188,9 +188,13 @@
     def note_success(self, slowness: float) -> None:
         """Record an answer whose processing took `slowness` times the average."""
         self.failures = 0
+        self.note_slowness(slowness)
+        self.failure_rate *= 1 - SLOWNESS_WEIGHT
+
+    def note_slowness(self, slowness: float) -> None:
+        """Record that processing took `slowness` times the average, or longer."""
         bounded = min(MAX_SLOWNESS, slowness)
         self.slowness += SLOWNESS_WEIGHT * (bounded - self.slowness)
-        self.failure_rate *= 1 - SLOWNESS_WEIGHT
 
     def note_failure(self, weight: float) -> None:
         """Record a failed request, with its weight in the failure rate."""
--- a/tests/test_direct_costplacement.py
+++ b/tests/test_direct_costplacement.py
@@ -130,6 +130,29 @@
     assert not collect_reports([('t', own)])
 
 
+def test_slowdown_that_lasts_fades_slowly_until_the_usual_pace_is_told():
+    """Guards against targets slow for seconds that look usual between their answers."""
+    clock = ManualClock(0)
+    own = Slowdown(clock)
+    for _ in range(4):
+        own.note(5)
+        clock.advance(0.4)
+    assert own.factor > 4
+    own.note(1)
+    assert own.factor == 1
+    assert collect_reports([('t', own)])['t'].percent == 100
+
+
+def test_timeouts_make_a_target_count_as_slow():
+    clock = ManualClock(0)
+    targets = make_targets(clock, {'fife': 6})
+    placement = Placement(HERE, clock)
+    usual = placement.choose(require(), targets)
+    for _ in range(3):
+        placement.by_cost.costs.note_timeout(Work('desk', 'read'), usual, 2.5)
+    assert placement.choose(require(), targets).target is not usual.target
+
+
 def test_load_tells_its_source_and_age():
     clock = ManualClock(5)
     (target,) = make_targets(clock, {'fife': 1})
