Count large heads that arrive, and spare small bodies a reservation

Heads that never end had only their own bound, so thousands of them could exceed a small machine; above 4 KiB they are taken from the budget now. Bodies up to 4 KiB are covered by the flat amount of their connection, so the common small request needs no reservation.

--- a/currantmast/direct/inbound.py
+++ b/currantmast/direct/inbound.py
@@ -38,6 +38,9 @@
 # Bytes of framing for each byte of a body: a chunk of one byte takes five beside it.
 FRAMING_PER_BYTE = 8
 
+# Bodies up to this size need no reservation: the memory of a connection covers them.
+COVERED_BYTES = 4096
+
 # Seconds after which a caller that found no room may come again; holders that stall for
 # as long are closed by then.
 ROOM_RETRY_AFTER_S = 1
@@ -188,6 +191,9 @@
         if self._overhead > max_overhead:
             self.reject(RequestRejected(431, 'too many bytes outside the body'))
             return False
+        if not self.head_complete and not self._hold(self._overhead):
+            self.reject(reject_for_room())
+            return False
         return True
 
     def reject(self, rejection: RequestRejected) -> None:
@@ -278,12 +284,7 @@
             raise RequestRejected(413, 'the body is too large')
         if self._body_bytes > SMALL_BYTES and not self._is_large:
             self._begin_large(0)
-        if self.reservation is None:
-            self.reservation = self._reserve()
-        reservation = self.reservation
-        if not reservation.add(len(body)) or self.is_rejected:
-            # The room for this part may have been taken by closing this body itself.
-            reservation.release()
+        if not self._hold(self._body_bytes):
             raise reject_for_room()
         self._body = append_part(self._body, body)
 
@@ -310,6 +311,20 @@
             reservation=self.reservation,
         )
 
+    def _hold(self, size: int) -> bool:
+        """Reserve `size` bytes for the request that arrives; return False without room."""
+        if size <= COVERED_BYTES:
+            return True
+        if self.reservation is None:
+            self.reservation = self._reserve()
+        reservation = self.reservation
+        has_room = reservation.add(size - reservation.received)
+        # The room may have been taken by closing this request itself.
+        if self.is_rejected or not has_room:
+            reservation.release()
+            return False
+        return True
+
     def _begin_large(self, announced: int) -> None:
         decision = self._admit(self._make_request(b''))
         if isinstance(decision, OutboundAnswer):
--- a/currantmast/direct/memory.py
+++ b/currantmast/direct/memory.py
@@ -222,12 +222,15 @@
 
     def hold(self, size: int) -> None:
         """Take `size` bytes that are in memory already."""
-        self._team = ''
         self._take(size)
 
     def move(self, size: int) -> None:
-        """Count bytes that were received or sent, and record progress."""
+        """Count bytes that were received or sent, and record progress.
+
+        `size` is negative when a body begins, as the bytes of its head count no longer.
+        """
         self.received += size
+        self._marked = min(self._marked, self.received)
         if self.received - self._marked >= MOVED_BYTES:
             self._marked = self.received
             self.moved_at = self._budget.clock.now()
--- a/currantmast/direct/rooms.py
+++ b/currantmast/direct/rooms.py
@@ -10,8 +10,8 @@
 from currantmast.direct.inbound import RequestReader
 from currantmast.direct.memory import MemoryBudget
 
-# Memory of one connection: its tasks, parser and buffers.
-CONNECTION_BYTES = 24_576
+# Memory of one connection: its tasks, parser and buffers, and a small body.
+CONNECTION_BYTES = 28_672
 
 # Longest time in seconds for which a body is not read as it has no room, the poll
 # interval, and the most connections that wait for room.
--- a/tests/test_direct_front.py
+++ b/tests/test_direct_front.py
@@ -265,3 +265,21 @@
         gevent.sleep(0.05)
         assert budget.held == 0
         assert server.active_requests == 0
+
+
+@pytest.mark.parametrize('size', [0, 5000, 9000])
+def test_large_head_counts_while_it_arrives(size):
+    """Guards against many large heads that never end."""
+    limits = CallerLimits(body_bytes=10_000, header_timeout_s=5, idle_s=5)
+    head = b'POST /a HTTP/1.1\r\nHost: h\r\nX: ' + b'x' * 8000
+    with open_front(echo, limits) as server, connect(server) as sock:
+        sock.sendall(head)
+        gevent.sleep(0.05)
+        assert server.resources.budget.held >= CONNECTION_BYTES + 8000
+        sock.sendall(
+            f'\r\nConnection: close\r\nContent-Length: {size}\r\n\r\n'.encode()
+        )
+        sock.sendall(b'z' * size)
+        assert read_all(sock).endswith(b'\r\n\r\n' + b'z' * size)
+        gevent.sleep(0.05)
+        assert server.resources.budget.held == CONNECTION_BYTES
