Keep what lies beside the bodies within the memory too

A trial on a machine of 200 MB with 2,500 callers that stop short of bodies of 60 kB peaked at 330 MB, though the budget was kept: each connection referred to the bytes that it had received last, each rejection to them by its traceback, connections were admitted whatever was held, and freed memory of one size stayed in gaps of the heap (305 MB after all had left).

Connections drop what they have parsed before they wait, rejections have no traceback, and a connection takes its memory from the budget or closes the idlest one.

--- a/currantmast/direct/connectionslots.py
+++ b/currantmast/direct/connectionslots.py
@@ -71,7 +71,7 @@
 
         Returns False if no connection can be closed.
         """
-        if len(self._slots) >= self.limit and not self._close_idlest():
+        if len(self._slots) >= self.limit and not self.close_idlest():
             return False
         self._slots[slot] = None
         return True
@@ -85,7 +85,8 @@
         """Take the place of `slot` back."""
         self._slots.pop(slot, None)
 
-    def _close_idlest(self) -> bool:
+    def close_idlest(self) -> bool:
+        """Close the idlest connection; return False if all that were looked at answer."""
         examined = list(islice(self._slots, MAX_EXAMINED))
         by_use = {slot.get_use(): slot for slot in reversed(examined)}
         victim = by_use.get(SlotUse.idle) or by_use.get(SlotUse.receiving)
--- a/currantmast/direct/front.py
+++ b/currantmast/direct/front.py
@@ -176,7 +176,6 @@
             server.admit,
             partial(server.resources.budget.open, self._evict),
         )
-        self._delivery = Delivery(sock, server.resources.budget, self.close)
         self._pending = self._reader.parsed
         self._request_arrived = Event()
         self._task: Greenlet | None = None
@@ -241,21 +240,33 @@
 
     def _read_all(self) -> None:
         unyielded_bytes = 0
-        while not self._finished:
-            received = self._receive()
-            if received is None:
-                continue
-            if not received:
-                raise CallerDisconnected('the caller closed the connection')
-            self._feed(received)
+        while not self._finished and not self._reader.is_rejected:
+            unyielded_bytes += self._read_part()
             if self._reader.needs_room():
                 self._wait_for_room()
-            unyielded_bytes += len(received)
             if unyielded_bytes >= YIELD_BYTES:
                 gevent.sleep(0)
                 unyielded_bytes = 0
         self._linger()
 
+    def _read_part(self) -> int:
+        """Read and parse what arrives next; return its size in bytes.
+
+        A caller of this must not refer to the bytes while it waits for more: thousands
+        of connections would each keep a part.
+        """
+        received = self._receive()
+        if received is None:
+            return 0
+        if not received:
+            raise CallerDisconnected('the caller closed the connection')
+        self._reader.feed(received)
+        if len(self._pending) > MAX_PIPELINED:
+            raise CallerDisconnected('too many pipelined requests')
+        if self._pending:
+            self._request_arrived.set()
+        return len(received)
+
     def _receive(self) -> bytes | None:
         """Return received bytes, or None if none arrived and the connection goes on."""
         self._sock.settimeout(self._reader.choose_timeout())
@@ -272,21 +283,11 @@
             self._request_arrived.set()
         return None
 
-    def _feed(self, received: bytes) -> None:
-        reusable = self._reader.feed(received)
-        if len(self._pending) > MAX_PIPELINED:
-            raise CallerDisconnected('too many pipelined requests')
-        if self._pending:
-            self._request_arrived.set()
-        if not reusable:
-            self._linger()
-
     def _wait_for_room(self) -> None:
         """Stop reading until the large body has room; reject it if it gets none."""
         if not self._server.resources.wait_for_room(self._reader, self._server.clock):
             self._reader.reject(reject_for_room())
             self._request_arrived.set()
-            self._linger()
         if self._reader.should_continue():
             self._sock.sendall(b'HTTP/1.1 100 Continue\r\n\r\n')
 
@@ -347,7 +348,8 @@
         else:
             self._refused_head = request.answer is not None
         self._sock.settimeout(PROGRESS_TIMEOUT_S)
-        self._delivery.write(answer, keep_alive, is_head)
+        delivery = Delivery(self._sock, self._server.resources.budget, self.close)
+        delivery.write(answer, keep_alive, is_head)
         if not keep_alive:
             self._finished = True
             self._sock.shutdown(SHUT_WR)
--- a/currantmast/direct/inbound.py
+++ b/currantmast/direct/inbound.py
@@ -164,7 +164,7 @@
         self._limits = limits
         self._clock = clock
         self._admit = admit
-        self._reserve = reserve
+        self._reserve: Callable[[], Reservation] | None = reserve
         self._parser = httptools.HttpRequestParser(self)
         self._head_bytes = 0
         self._body_bytes = 0
@@ -211,8 +211,9 @@
             self.reservation = None
 
     def close(self) -> None:
-        """Release all requests, and the parser, which refers back to the reader."""
+        """Release all requests, and what refers back to the reader or its owner."""
         self.release()
+        self._reserve = None
         for request in self.parsed:
             request.release()
         self._parser = None
@@ -395,5 +396,6 @@
 def _find_rejection(error: httptools.HttpParserError) -> RequestRejected:
     cause = error.__context__
     if isinstance(cause, RequestRejected):
-        return cause
+        # The traceback would keep the received bytes until the answer is written.
+        return cause.with_traceback(None)
     return RequestRejected(400, f'{type(error).__name__}: {error}')
--- a/currantmast/direct/process.py
+++ b/currantmast/direct/process.py
@@ -15,6 +15,7 @@
 from currantmast.direct.exchanges import TargetConnections
 from currantmast.direct.following import Follower
 from currantmast.direct.front import FrontServer
+from currantmast.direct.heap import Heap
 from currantmast.direct.heartbeats import HeartbeatSocket
 from currantmast.direct.inbound import InboundRequest, OutboundAnswer
 from currantmast.direct.instance_state import (
@@ -109,6 +110,7 @@
             ConnectionSlots(settings.max_connections),
         )
         self._pressure = PressureReport(self._resources.budget)
+        self._heap = Heap(self._resources.budget)
         self._stopping = Event()
         self._members_listed = Event()
         self._registered = False
@@ -131,6 +133,7 @@
             domain=self._settings.location.failure_domain,
             incarnation=self.state.members.own.incarnation,
         )
+        self._heap.configure()
         with ExitStack() as stack:
             connections = stack.enter_context(
                 TargetConnections(self._clock, self._resources.budget)
@@ -248,6 +251,7 @@
             self._register()
             connections.close_expired()
             self._pressure.update()
+            self._heap.update()
             for record in list_removable(self.state.members):
                 self._remove_member(record)
             self._clock.sleep(HOUSEKEEPING_INTERVAL_S)
--- a/currantmast/direct/rooms.py
+++ b/currantmast/direct/rooms.py
@@ -50,10 +50,9 @@
     @contextmanager
     def admit(self, slot: Slot) -> Iterator[bool]:
         """Give a connection its place and memory; yield False if there is none."""
-        if not self.slots.add(slot):
+        if not self._take_slot(slot):
             yield False
             return
-        self.budget.held += CONNECTION_BYTES
         try:
             yield True
         finally:
@@ -78,6 +77,19 @@
             self._room_waiters -= 1
         return True
 
+    def _take_slot(self, slot: Slot) -> bool:
+        """Take the place and memory of a connection, closing an idle one if needed."""
+        has_memory = self.budget.reserve(CONNECTION_BYTES, is_small=True)
+        if not has_memory and not self.slots.close_idlest():
+            return False
+        if not has_memory:
+            # The closed connection gives its own back when its task ends.
+            self.budget.held += CONNECTION_BYTES
+        if self.slots.add(slot):
+            return True
+        self.budget.held -= CONNECTION_BYTES
+        return False
+
     def _take_room(self, reader: RequestReader) -> bool:
         """Return whether the body has room, or needs none any more."""
         reservation = reader.reservation
--- a/tests/integration/test_crowds.py
+++ b/tests/integration/test_crowds.py
@@ -41,6 +41,7 @@
 WORK = WorkPlan(timeout_s=20)
 START_S = 30.0
 SMALLEST = MachinePlan(memory_mb=200)
+CONNECTED = MachinePlan(memory_mb=120)
 
 
 @contextmanager
@@ -80,6 +81,16 @@
     assert not fleet.list_violations()
 
 
+def test_many_small_bodies_stay_within_the_memory():
+    """Guards against bytes beside the bodies that each connection keeps."""
+    with open_fleet(CONNECTED) as fleet:
+        instance = fleet.instances['edge-0']
+        with Crowd(fleet.public['edge-0'], 900, send_pieces(60_000, missing=1)):
+            assert fleet.call(WORK.timeout_s) == 200
+        assert instance.is_running()
+        assert read_memory_mb(instance.pid, 'VmHWM') <= CONNECTED.memory_mb
+
+
 @pytest.mark.parametrize(
     'act',
     [
--- a/tests/test_direct_memory.py
+++ b/tests/test_direct_memory.py
@@ -1,5 +1,7 @@
 """The memory budget: who gets room, who loses it, and that all of it comes back."""
 
+from types import SimpleNamespace
+
 import pytest
 
 from currantmast.clocks import ManualClock
@@ -8,12 +10,14 @@
     SlotUse,
     compute_connections,
 )
+from currantmast.direct.heap import TRIM_BYTES, Heap
 from currantmast.direct.memory import (
     SMALL_BYTES,
     STALL_S,
     MemoryBudget,
     compute_limit,
 )
+from currantmast.direct.rooms import CallerResources
 
 MB = 1_000_000
 
@@ -135,3 +139,34 @@
     assert compute_connections(4200) == 3000
     assert compute_connections(400) == 150
     assert compute_connections(10) == 1
+
+
+def test_heap_is_trimmed_once_after_much_was_given_back(budget):
+    trims = []
+    heap = Heap(budget)
+    heap._library = SimpleNamespace(malloc_trim=trims.append)
+    budget.held = 2 * TRIM_BYTES
+    heap.update()
+    budget.held = TRIM_BYTES + 1
+    heap.update()
+    assert not trims
+    budget.held = TRIM_BYTES
+    heap.update()
+    heap.update()
+    assert trims == [0]
+
+
+def test_connection_without_memory_closes_an_idle_one(budget):
+    """Guards against connections beyond the memory, within the descriptors."""
+    resources = CallerResources(budget)
+    idle, answering = Slot(SlotUse.idle), Slot(SlotUse.answering)
+    with resources.admit(idle), resources.admit(answering) as is_admitted:
+        assert is_admitted
+        budget.held += budget.limit
+        with resources.admit(Slot(SlotUse.answering)) as is_admitted:
+            assert is_admitted
+            assert idle.closed
+            with resources.admit(Slot(SlotUse.idle)) as is_admitted:
+                assert not is_admitted
+        budget.held -= budget.limit
+    assert (budget.held, len(resources.slots)) == (0, 0)
