Let requests wait a moment for room under overload control

Cause: a request was placed or refused in the same instant, though targets get room within a tenth of a second; refused callers have one more try at most. Change, under overload control only: where no target has room, a request waits at the instance for 0.12 of its objective at most, and its target is chosen when one has room; the more urgent look first. Waits begin only while those of the same and higher urgency mostly end with room (levels with hysteresis, logged), never where all targets are at limits that they name, and 64 at most.

--- a/currantmast/direct/attempts.py
+++ b/currantmast/direct/attempts.py
@@ -119,6 +119,8 @@
         # Targets whose limits left no token at the last choice.
         self.limited = 0
         self.no_capacity = NoCapacity(0, 0)
+        # Seconds for which the request waited here for room at a target.
+        self.waited_s: float = 0
         self.target_ids: list[str] = []
 
     @property
@@ -166,6 +168,16 @@
             return msgspec.structs.replace(choice, available_in_s=available_in_s)
         return choice
 
+    def may_wait(self, no_capacity: NoCapacity) -> bool:
+        """Return whether the request may wait here until a target has room.
+
+        Not if there is no target, or all are at the limits that they name: those don't
+        get room within a moment.
+        """
+        has_target = self.limited < no_capacity.candidates
+        ranked = self._state.configuration.ranks.enabled
+        return ranked and has_target and not self._may_have_run
+
     def begin(self, choice: Choice) -> None:
         """Record the start of an attempt; if its target is cold, take a token for it."""
         self.last_choice = choice
--- a/currantmast/direct/steering.py
+++ b/currantmast/direct/steering.py
@@ -33,6 +33,7 @@
 from currantmast.direct.returns import RefusedCaller, ReturnTimes
 from currantmast.direct.targets import Target
 from currantmast.direct.updates import Topic
+from currantmast.direct.waiting import WAIT_FRACTION, WaitingRequests
 from currantmast.errors import (
     AnswerIncomplete,
     AnswerTooLarge,
@@ -85,6 +86,7 @@
         self._clock = clock
         self._meter = meter
         self._returns = ReturnTimes(clock)
+        self._waiting = WaitingRequests(clock)
 
     def answer(self, inbound: InboundRequest) -> OutboundAnswer:
         """Return the answer to one request."""
@@ -173,7 +175,7 @@
         )
         result: AttemptResult = NotRun(Reason.deadline)
         while attempts.has_attempt_left():
-            choice = attempts.choose()
+            choice = self._choose(admission, attempts)
             if isinstance(choice, NoCapacity):
                 return attempts.end_without_capacity(choice, result)
             attempts.begin(choice)
@@ -182,6 +184,29 @@
                 break
         return attempts.conclude(result)
 
+    def _choose(self, admission: Admission, attempts: Attempts) -> Choice | NoCapacity:
+        """Return the target for the next attempt; wait a moment if none has room."""
+        choice = attempts.choose()
+        if not isinstance(choice, NoCapacity) or not attempts.may_wait(choice):
+            return choice
+        started = self._clock.now()
+        wait = self._waiting.begin(
+            admission.service,
+            admission.urgency,
+            admission.started_at + admission.route.latency_objective_s * WAIT_FRACTION,
+        )
+        if wait is None:
+            return choice
+        with wait:
+            self._meter.set_gauge('waiting_requests', self._waiting.count())
+            while isinstance(choice, NoCapacity) and wait.sleep():
+                choice = attempts.choose()
+            wait.found = not isinstance(choice, NoCapacity)
+        attempts.waited_s += self._clock.now() - started
+        self._meter.set_gauge('waiting_requests', self._waiting.count())
+        self._meter.set_gauge('waiting_closed_levels', self._waiting.count_closed())
+        return choice
+
     def _plan_return(
         self, admission: Admission, result: AttemptResult
     ) -> AttemptResult:
@@ -225,6 +250,7 @@
             return OutcomeUnknown(_get_failure_reason(error))
         finally:
             target.in_flight -= 1
+            self._waiting.note_room(admission.service)
         return self._process_answer(admission, choice, answer, started)
 
     def _log_oversize(
@@ -389,6 +415,7 @@
             thing=admission.call.object_key,
             urgency=str(admission.urgency),
             retry_after_s=result.after_s if isinstance(result, TryLater) else None,
+            waited_s=attempts.waited_s,
             tries=attempts.count,
             targets=','.join(attempts.target_ids),
             domain=last_choice.target.record.location.failure_domain
--- a/tests/test_direct_overload.py
+++ b/tests/test_direct_overload.py
@@ -1,6 +1,10 @@
 """Which requests are served first, and who comes back when, while room is short."""
 
+from contextlib import ExitStack
+
+import gevent
 import pytest
+from test_direct_steering import SteeringHarness, make_route, make_target
 
 from currantmast.clocks import ManualClock
 from currantmast.direct.model import (
@@ -15,6 +19,7 @@
 from currantmast.direct.retries import RetryBudgets
 from currantmast.direct.returns import RefusedCaller, ReturnTimes
 from currantmast.direct.urgency import Urgency, UrgencyRanks, make_urgency
+from currantmast.direct.waiting import MAX_WAITING, WaitingRequests, WaitLevel
 
 BOUNDS = Bounds(retry_ratio=0.2, retry_extra=200, retry_window_s=10)
 USUAL = Urgency(1, 1)
@@ -126,3 +131,97 @@
     caller = RefusedCaller('q', 0.1, 9)
     assert returns.book('other', USUAL, caller) < 1.2
     assert returns.measure_backlog() <= 4
+
+
+class Room:
+    """Waits of a service whose targets get room after `opens_after_s`."""
+
+    def __init__(self):
+        self.clock = ManualClock(100)
+        self.waiting = WaitingRequests(self.clock)
+
+    def wait(self, opens_after_s, urgency=USUAL):
+        """Return how long a request waited and whether it found room; None if refused."""
+        began = self.clock.now()
+        wait = self.waiting.begin('desk', urgency, began + 0.1)
+        if wait is None:
+            return None
+        with wait:
+            while not wait.found and wait.sleep():
+                wait.found = self.clock.now() - began >= opens_after_s
+        return self.clock.now() - began, wait.found
+
+
+def test_request_waits_until_a_target_answers():
+    """Load: a burst for which the targets get room within a moment."""
+    room = Room()
+    waited_s, found = room.wait(0.04)
+    assert found
+    assert waited_s < 0.07
+
+
+def test_more_urgent_request_looks_for_room_first():
+    """Load: requests of two urgencies wait when a target answers."""
+    room = Room()
+    looks = []
+
+    def look(urgency):
+        with room.waiting.begin('desk', urgency, 200) as wait:
+            room.waiting.note_room('desk')
+            wait.sleep()
+            looks.append(urgency)
+
+    tasks = [gevent.spawn(look, urgency) for urgency in (USUAL, Urgency(0, 1))]
+    gevent.joinall(tasks, raise_error=True)
+    assert looks == [Urgency(0, 1), USUAL]
+
+
+def test_nothing_waits_that_will_be_refused():
+    """Load: 2.3 times the room for seconds, so that waits end without room."""
+    room = Room()
+    ends = [room.wait(9) for _ in range(30)]
+    held = [end for end in ends if end]
+    assert len(held) < 15
+    assert max(waited_s for waited_s, _ in held) <= 0.12
+    # The less urgent don't wait for what the more urgent don't get; others do.
+    assert room.wait(0, Urgency(2, 1)) is None or ends[-1] is None
+    assert room.wait(0, Urgency(0, 1))[1]
+
+
+def test_waits_begin_again_once_trials_find_room():
+    room = Room()
+    while room.waiting.levels.get(('desk', USUAL), WaitLevel()).is_open:
+        room.wait(9)
+    found = []
+    for _ in range(40):
+        room.clock.advance(1)
+        found.append(room.wait(0.02))
+    level = room.waiting.levels['desk', USUAL]
+    assert level.is_open
+    assert all(found)
+
+
+def test_no_more_wait_than_memory_is_planned_for():
+    room = Room()
+    waits = [room.waiting.begin('desk', USUAL, 200) for _ in range(MAX_WAITING)]
+    with ExitStack() as stack:
+        for wait in waits:
+            stack.enter_context(wait)
+        assert room.waiting.begin('desk', USUAL, 200) is None
+    assert room.waiting.begin('desk', USUAL, 200) is not None
+
+
+@pytest.mark.parametrize('priority', [0, 1])
+def test_request_waits_only_where_a_route_has_the_highest_priority(priority):
+    """Load: a burst that fills the only target."""
+    harness = SteeringHarness(
+        targets=[make_target('t1')], route=make_route(priority=priority)
+    )
+    harness.state.targets.get('t1').peers_in_flight = 6
+    began = harness.clock.now()
+    answer = harness.ask()
+    assert answer.status == 503
+    waited_s = harness.clock.now() - began
+    # An eighth of the objective of half a second at most.
+    assert 0 < waited_s < 0.07 if priority == 0 else waited_s == 0
+    assert 0.1 <= float(dict(answer.headers)['Retry-After']) <= 1
