Move the admission of requests out of steering

Change: the checks of route, team and rate stand in direct/admission; only moved. Measured: tests of steering, overload, stopping, logs, notices, ramp-up.

--- a/currantmast/direct/steering.py
+++ b/currantmast/direct/steering.py
@@ -2,9 +2,8 @@
 
 from http import HTTPStatus
 
-import msgspec
-
 from currantmast.clocks import Clock
+from currantmast.direct.admission import DEFAULT_TIME_LIMIT_S, AdmissionControl
 from currantmast.direct.answers import Answer
 from currantmast.direct.attempts import (
     MAX_RETRY_AFTER_S,
@@ -25,14 +24,11 @@
 from currantmast.direct.inbound import Admitted, InboundRequest, OutboundAnswer
 from currantmast.direct.instance_state import InstanceState
 from currantmast.direct.meters import Meter
-from currantmast.direct.model import Route, Team
 from currantmast.direct.notices import TargetNotices
 from currantmast.direct.rampup import RampCause
-from currantmast.direct.rates import RateExceeded, SharesUnknown
 from currantmast.direct.refusals import encode_refusal
 from currantmast.direct.requests import (
     AttemptMetadata,
-    CallerRequest,
     ShedReason,
     TargetAnswer,
     WireFormat,
@@ -51,23 +47,6 @@
 from currantmast.outcomes import NotRun, OutcomeUnknown, Reason
 from currantmast.runtime.logs import log_event
 
-# Time limit in seconds of a request that names none.
-DEFAULT_TIME_LIMIT_S = 30.0
-
-# Seconds before the deadline by which the answer is sent, so that it arrives in time.
-ANSWER_MARGIN_S = 0.02
-
-# Retry-After in seconds while the configuration, the lease on it, the targets or the
-# shares of team rates are missing.
-BOOT_RETRY_AFTER_S = 0.5
-
-
-class _Checked(msgspec.Struct, frozen=True):
-    """Route and team of a request that may be sent."""
-
-    route: Route
-    team: Team | None
-
 
 class Steering:
     """Answers the requests of callers by sending each to a target.
@@ -99,6 +78,7 @@
         self._connections = connections
         self._clock = clock
         self._meter = meter
+        self._admissions = AdmissionControl(state, wire, meter)
         self._crash_watch = CrashWatch(state.targets.crashing_requests, connections)
         self._returns = ReturnTimes(clock)
         self._waiting = WaitingRequests(clock)
@@ -106,11 +86,13 @@
     def answer(self, inbound: InboundRequest) -> OutboundAnswer:
         """Return the answer to one request."""
         call = self._wire.decode_request(inbound)
-        admission = self._admit(call, inbound)
+        admission = self._admissions.admit(call, inbound)
         if isinstance(admission, OutboundAnswer):
             return admission
         if self._crash_watch.is_refused(inbound, admission.team_name):
-            return self._refuse(call, Reason.quarantined, team=admission.team)
+            return self._admissions.refuse(
+                call, Reason.quarantined, team=admission.team
+            )
         attempts = Attempts(self._state, admission, self._clock)
         result = self._send_with_retries(inbound, admission, attempts)
         if self._state.configuration.ranks.enabled:
@@ -119,109 +101,8 @@
         return _encode_result(self._wire, result)
 
     def admit_head(self, head: InboundRequest) -> OutboundAnswer | Admitted:
-        """Decide on a large request before its body is read.
-
-        Its team's rate is used now; the rest is decided again with the whole request.
-        """
-        call = self._wire.decode_request(head)
-        checked = self._check(call, head)
-        if isinstance(checked, OutboundAnswer):
-            return checked
-        team = checked.team
-        return Admitted(team.name if team else '')
-
-    def _admit(
-        self, call: CallerRequest, inbound: InboundRequest
-    ) -> Admission | OutboundAnswer:
-        checked = self._check(call, inbound)
-        if isinstance(checked, OutboundAnswer):
-            return checked
-        return self._make_admission(call, checked, inbound.received_at)
-
-    def _check(
-        self, call: CallerRequest, inbound: InboundRequest
-    ) -> _Checked | OutboundAnswer:
-        state = self._state
-        received_at = inbound.received_at
-        config = state.configuration.value
-        if config is None or not state.targets_listed:
-            return self._refuse(call, Reason.no_configuration, BOOT_RETRY_AFTER_S)
-        route = self._match(call)
-        if isinstance(route, OutboundAnswer):
-            return route
-        deadline_at = _find_deadline(call, route, received_at)
-        services = (weighted.service for weighted in route.weighted_services)
-        if not state.stop.may_finish(services, received_at, deadline_at):
-            # Before the team's rate is used, as the request will come elsewhere.
-            return self._refuse(call, Reason.stopping, MIN_RETRY_AFTER_S)
-        team = None
-        if config.requires_keys and not route.keyless:
-            found = self._admit_team(call, inbound.admitted)
-            if isinstance(found, OutboundAnswer):
-                return found
-            team = found
-        return _Checked(route, team)
-
-    def _match(self, call: CallerRequest) -> Route | OutboundAnswer:
-        if not call.request_id:
-            return self._refuse(call, Reason.bad_request)
-        host = call.host.partition(':')[0]
-        route = self._state.configuration.match(host, call.path)
-        if route is None:
-            return self._refuse(call, Reason.service_unknown)
-        if not route.is_readable:
-            return self._refuse(call, Reason.entry_unreadable, BOOT_RETRY_AFTER_S)
-        return route
-
-    def _admit_team(
-        self, call: CallerRequest, is_counted: bool
-    ) -> Team | OutboundAnswer:
-        state = self._state
-        if not state.has_lease():
-            return self._refuse(call, Reason.no_lease, BOOT_RETRY_AFTER_S)
-        if state.configuration.refuses_key(call.key or ''):
-            return self._refuse(call, Reason.entry_unreadable, BOOT_RETRY_AFTER_S)
-        team = state.configuration.find_team(call.key or '')
-        if team is None:
-            return self._refuse(call, Reason.key_unknown)
-        return team if is_counted else self._use_rate(call, team)
-
-    def _use_rate(self, call: CallerRequest, team: Team) -> Team | OutboundAnswer:
-        match self._state.rate_limiter.admit(team):
-            case RateExceeded() as exceeded:
-                return self._refuse_rate(call, team, exceeded)
-            case SharesUnknown():
-                return self._refuse(
-                    call, Reason.no_configuration, BOOT_RETRY_AFTER_S, team
-                )
-        return team
-
-    def _make_admission(
-        self, call: CallerRequest, checked: _Checked, received_at: float
-    ) -> Admission:
-        route = checked.route
-        team = checked.team
-        allowed_regions = route.allowed_regions
-        if team is not None and team.allowed_regions:
-            allowed_regions = (
-                (allowed_regions & team.allowed_regions)
-                if allowed_regions
-                else team.allowed_regions
-            )
-            # Both restrictions apply. Without a common region the set holds only '',
-            # which no region matches; an empty set would allow all regions.
-            allowed_regions = allowed_regions or frozenset(('',))
-        return Admission(
-            call=call,
-            route=route,
-            team=team,
-            service=self._state.service_picker.pick(route).service,
-            allowed_regions=allowed_regions,
-            started_at=received_at,
-            deadline_at=_find_deadline(call, route, received_at),
-            objective_at=received_at + route.latency_objective_s,
-            by_cost=self._state.configuration.has_overload_control,
-        )
+        """Decide on a large request before its body is read."""
+        return self._admissions.admit_head(head)
 
     def _send_with_retries(
         self, inbound: InboundRequest, admission: Admission, attempts: Attempts
@@ -400,43 +281,6 @@
                 processing_times.was_cached(admission.service, processing_s)
             )
 
-    def _refuse_rate(
-        self, call: CallerRequest, team: Team, exceeded: RateExceeded
-    ) -> OutboundAnswer:
-        return self._refuse(
-            call,
-            Reason.rate_exceeded,
-            exceeded.wait_s,
-            team,
-            rate=team.rate,
-            burst=team.burst,
-            share_tokens=exceeded.share_tokens,
-            team_tokens=exceeded.fleet_tokens,
-            silent=exceeded.silent,
-        )
-
-    def _refuse(
-        self,
-        call: CallerRequest,
-        reason: Reason,
-        after_s: float | None = None,
-        team: Team | None = None,
-        **inputs: float,
-    ) -> OutboundAnswer:
-        log_event(
-            'request_refused',
-            level='WARNING',
-            request=call.request_id,
-            reason=reason,
-            team=team.name if team else None,
-            version=self._state.configuration.version,
-            config_age_s=self._state.freshness.age(),
-            retry_after_s=after_s,
-            **inputs,
-        )
-        self._meter.count_outcome('refused', reason)
-        return encode_refusal(NotRun(reason), after_s)
-
     def _log_result(
         self, admission: Admission, attempts: Attempts, result: AttemptResult
     ) -> None:
@@ -500,11 +344,6 @@
     }
 
 
-def _find_deadline(call: CallerRequest, route: Route, received_at: float) -> float:
-    limit_s = call.time_limit_s or DEFAULT_TIME_LIMIT_S
-    return received_at + min(limit_s, route.timeout_s) - ANSWER_MARGIN_S
-
-
 def _get_failure_reason(error: ExchangeBroken) -> Reason:
     match error:
         case ProgressTimeout():
