Mend what the review of the merged parts found

Cause and change, each found by reading or a one-off script of the review: - ramp-ups never heard of answers under overload control, where alone they act; - a retry could be sent after its budget had been used during a wait; - placement sampled targets that named a limit or had just shed, and looked at none when all were full, so the time to come back was wrong; - waits looked for room as often as answers came, whatever that cost, ignored the deadline and the planned stop, and a closed level of an urgency of which no more requests came closed the less urgent ones for good; - an ended connection could break a planned stop; with a stop, a request behind the answered one was dropped; eviction cut a request that was being answered; - a version of more than eight digits came into force and ended heartbeats; - an answer refused for want of memory here counted against its target; - answers during the check for a crash weren't counted; cleared requests in a heartbeat weren't bounded; - config check read large configurations from the store as blocks.

--- a/currantmast/direct/answers.py
+++ b/currantmast/direct/answers.py
@@ -8,7 +8,7 @@
 
 from currantmast.direct.bodies import Body, append_part, complete_body
 from currantmast.direct.inbound import CONNECTION_HEADERS
-from currantmast.direct.memory import SMALL_BYTES, MemoryBudget
+from currantmast.direct.memory import MemoryBudget
 from currantmast.errors import (
     AnswerIncomplete,
     AnswerTooLarge,
@@ -92,8 +92,8 @@
         """Return a short description for debugging."""
         return f'<BufferedBytes {self.count}>'
 
-    def add(self, size: int, answer_size: int) -> None:
-        """Reserve `size` bytes for an answer that has `answer_size` with them.
+    def add(self, size: int) -> None:
+        """Reserve `size` bytes for a part of an answer.
 
         Raises
         ------
@@ -102,7 +102,8 @@
         """
         if self.count + size > MAX_BUFFERED_BYTES:
             raise AnswerTooLarge('memory')
-        if not self.budget.reserve(size, answer_size <= SMALL_BYTES):
+        # The target has run the request, so its answer may use the whole budget.
+        if not self.budget.reserve(size, is_small=True):
             raise AnswerTooLarge('memory')
         self.count += size
 
@@ -255,7 +256,7 @@
         answer_size = self._buffered_size + size
         if answer_size > MAX_BODY_BYTES:
             raise AnswerTooLarge('body')
-        self._buffered.add(size, answer_size)
+        self._buffered.add(size)
         self._buffered_size = answer_size
         self._body = append_part(self._body, body)
 
--- a/currantmast/direct/attempts.py
+++ b/currantmast/direct/attempts.py
@@ -11,7 +11,7 @@
 from currantmast.direct.instance_state import InstanceState
 from currantmast.direct.model import Configuration, Route, Service, Team
 from currantmast.direct.requests import CallerRequest, TargetAnswer
-from currantmast.direct.targets import Target
+from currantmast.direct.targets import Target, TargetTable
 from currantmast.direct.urgency import Urgency, make_urgency
 from currantmast.outcomes import NotRun, OutcomeUnknown, Reason
 
@@ -182,7 +182,11 @@
         choice = self._state.placement.choose(requirements, usable)
         if isinstance(choice, NoCapacity):
             waits = map(limits.get_wait, limited.exhausted)
-            available_in_s = min(choice.available_in_s, *waits, self._get_pause())
+            available_in_s = min(
+                choice.available_in_s,
+                *waits,
+                _get_pause(self._state.targets, admission.service),
+            )
             return msgspec.structs.replace(choice, available_in_s=available_in_s)
         return choice
 
@@ -193,8 +197,20 @@
         get room within a moment.
         """
         has_target = self.limited < no_capacity.candidates
+        # Time brings room to targets that are full, but not to those that are too slow.
+        is_short = no_capacity.full or no_capacity.strange or no_capacity.held
         ranked = self._state.configuration.ranks.enabled
-        return ranked and has_target and not self._may_have_run
+        return bool(ranked and has_target and is_short) and not self._may_have_run
+
+    def affords_retry(self) -> bool:
+        """Return whether the budget still has the retry that is about to be sent."""
+        if not self._owes_retry:
+            return True
+        service = self._admission.service
+        rank = self._state.configuration.ranks.get_rank(
+            service, self._admission.urgency
+        )
+        return self._state.retries.has_left(service, self._state.bounds, rank)
 
     def begin(self, choice: Choice) -> None:
         """Record the start of an attempt; if its target is cold, take a token for it."""
@@ -272,21 +288,10 @@
         if not ranks.enabled:
             return self._state.retries.take(service, self._state.bounds)
         # Taken when the attempt begins, as there may be no time or no target for it.
-        rank = ranks.get_rank(service, self._admission.urgency)
-        self._owes_retry = self._state.retries.has_left(
-            service, self._state.bounds, rank
-        )
+        self._owes_retry = True
+        self._owes_retry = self.affords_retry()
         return self._owes_retry
 
-    def _get_pause(self) -> float:
-        """Return in how many seconds the first target that wants a pause is back."""
-        targets = self._state.targets
-        pauses = (
-            targets.notices.get_pause(target.record.id)
-            for target in targets.list_service(self._admission.service)
-        )
-        return min((pause_s for pause_s in pauses if pause_s), default=math.inf)
-
     def _allows(self, target: Target, service: Service | None) -> bool:
         if not self._serves_region(target):
             return False
@@ -340,3 +345,12 @@
             return 'refused', reason.value
         case OutcomeUnknown(reason):
             return 'unknown', reason.value
+
+
+def _get_pause(targets: TargetTable, service: str) -> float:
+    """Return in how many seconds the first target that wants a pause is back."""
+    pauses = (
+        targets.notices.get_pause(target.record.id)
+        for target in targets.list_service(service)
+    )
+    return min((pause_s for pause_s in pauses if pause_s), default=math.inf)
--- a/currantmast/direct/connectionslots.py
+++ b/currantmast/direct/connectionslots.py
@@ -1,7 +1,6 @@
 """Limit of the callers' connections of one process, which keeps descriptors for others."""
 
 from enum import Enum
-from itertools import islice
 from typing import Protocol
 
 # Most connections of callers, if the settings allow as many descriptors.
@@ -14,9 +13,6 @@
 # the rest.
 CALLER_PART = 3 / 4
 
-# Connections that are examined for one that may be closed.
-MAX_EXAMINED = 64
-
 
 class SlotUse(Enum):
     """What a connection is used for at a moment."""
@@ -86,13 +82,18 @@
         self._slots.pop(slot, None)
 
     def close_idlest(self) -> bool:
-        """Close the idlest connection; return False if all that were looked at answer."""
-        examined = list(islice(self._slots, MAX_EXAMINED))
-        by_use = {slot.get_use(): slot for slot in reversed(examined)}
-        victim = by_use.get(SlotUse.idle) or by_use.get(SlotUse.receiving)
-        if victim is None:
+        """Close the idlest connection; return False if all answer."""
+        idlest: Slot | None = None
+        for slot in self._slots:
+            use = slot.get_use()
+            if use is SlotUse.idle:
+                idlest = slot
+                break
+            if use is SlotUse.receiving and idlest is None:
+                idlest = slot
+        if idlest is None:
             return False
-        self._slots.pop(victim)
+        self._slots.pop(idlest)
         self.closed_count += 1
-        victim.close()
+        idlest.close()
         return True
--- a/currantmast/direct/costplacement.py
+++ b/currantmast/direct/costplacement.py
@@ -110,7 +110,7 @@
         self._location = location
         self._spillover = spillover
         self._prices: dict[str, CrossingPrice] = {}
-        self._random = Random(location.failure_domain)
+        self._random = Random()
         self.costs = CostModel(location, round_trips)
         self._object_counts = object_counts
 
@@ -187,18 +187,35 @@
             if obstacle is None
         }
         known = {option.target.record.id for option, _ in checked}
-        kind = CopyKind.strange if requirements.object_key else CopyKind.keyless
         others = [
             target
             for target in candidates
-            if target.load < limits.get_limit(target.record.slots, kind)
-            and target.record.id not in known
+            if target.record.id not in known
             and self._is_remote(target) not in open_sides
         ]
-        sampled = [Copy(target, kind) for target in self._sample(others)]
+        sampled = self._sample_others(requirements, others, limits)
         checked.extend(self._check(requirements, sampled, limits))
         return Options(len(candidates), checked, limits.slot_price)
 
+    def _sample_others(
+        self, requirements: Requirements, others: list[Target], limits: LoadLimits
+    ) -> list[Copy]:
+        """Return some targets with room that don't cache the object."""
+        kind = CopyKind.strange if requirements.object_key else CopyKind.keyless
+        excluded = requirements.limited.exhausted
+        if requirements.object_key:
+            excluded = excluded | requirements.limited.scarce
+        allowed = [each for each in others if each.record.id not in excluded]
+        free = [
+            each
+            for each in allowed
+            if each.load < each.limit_load(limits.get_limit(each.record.slots, kind))
+        ]
+        if not free and not requirements.object_key:
+            # Their queues tell when there will be room.
+            free = allowed
+        return [Copy(target, kind) for target in self._sample(free)]
+
     def _list_copies(
         self, requirements: Requirements, candidates: list[Target]
     ) -> list[Copy]:
--- a/currantmast/direct/costs.py
+++ b/currantmast/direct/costs.py
@@ -196,7 +196,9 @@
         hit = times.was_cached(work.route, work_s)
         usual_s = times.get(work.route, 1 if hit or choice.cached else 0)
         history = choice.target.history
-        history.note_success(min(MAX_RECORDED_SLOWNESS, work_s / usual_s))
+        slowness = work_s / usual_s
+        history.note_success(min(MAX_RECORDED_SLOWNESS, slowness))
+        choice.target.ramp_up.note_answer(slowness)
         if choice.wait_s:
             return
         times.note(work.route, work_s)
--- a/currantmast/direct/crashes.py
+++ b/currantmast/direct/crashes.py
@@ -24,7 +24,8 @@
 # for which what they tell of it counts as out of date.
 CLEARED_TTL_S = 3.0
 
-# Limits of the suspected requests that are remembered, and told in one heartbeat.
+# Limits of the suspected requests that are remembered by source, and of those, and of
+# cleared ones, that are told in one heartbeat.
 MAX_SUSPECTS = 1024
 MAX_TOLD = 16
 
@@ -62,6 +63,10 @@
         # When a target last answered a suspected request.
         self._cleared: OrderedDict[str, float] = OrderedDict()
 
+    def __bool__(self) -> bool:
+        """Return whether any request is suspected."""
+        return bool(self._own or self._peers)
+
     def __len__(self) -> int:
         """Return the number of suspected requests."""
         return len(self._own.keys() | self._peers.keys())
@@ -91,7 +96,7 @@
         self._expire()
         newest = reversed(self._own.items())
         told = sorted(newest, key=lambda entry: -len(entry[1].targets))[:MAX_TOLD]
-        report: CrashReport = dict.fromkeys(self._cleared, ())
+        report: CrashReport = dict.fromkeys(tuple(self._cleared)[-MAX_TOLD:], ())
         for fingerprint, suspect in told:
             report[fingerprint] = tuple(suspect.targets)[:MAX_CRASHES]
         return report
--- a/currantmast/direct/crashwatch.py
+++ b/currantmast/direct/crashwatch.py
@@ -52,8 +52,12 @@
 
     def note_answer(self, inbound: InboundRequest, team: str) -> None:
         """Record that a target has answered a request."""
-        if self._crashing:
-            self._crashing.note_answer(_identify(inbound, team))
+        if not (self._crashing or self._pending):
+            return
+        fingerprint = _identify(inbound, team)
+        self._crashing.note_answer(fingerprint)
+        for broken in self._pending.values():
+            broken.discard(fingerprint)
 
     def note_break(
         self,
--- a/currantmast/direct/front.py
+++ b/currantmast/direct/front.py
@@ -201,8 +201,7 @@
     def close_if_idle(self) -> None:
         """Close the connection unless a request has started to arrive."""
         if not self.is_busy():
-            self._finished = True
-            self._sock.shutdown(SHUT_RDWR)
+            self.close()
 
     def get_use(self) -> SlotUse:
         """Return what the connection is used for."""
@@ -299,11 +298,9 @@
 
     def _linger(self) -> None:
         """Wait for the last answer, then discard what the caller still sends."""
-        with gevent.Timeout(
-            PROGRESS_TIMEOUT_S, CallerDisconnected('timeout after the last request')
-        ):
-            while not self._finished:
-                gevent.sleep(LINGER_POLL_S)
+        # Requests end by their deadlines, so this does, too.
+        while not (self._finished or self._task is None or self._task.ready()):
+            gevent.sleep(LINGER_POLL_S)
         linger_s = BODY_LINGER_S if self._refused_head else LINGER_S
         with gevent.Timeout(
             linger_s, CallerDisconnected('timeout after the last request')
@@ -343,7 +340,9 @@
         keep_alive = False
         is_head = False
         if isinstance(request, InboundRequest):
-            keep_alive = request.keep_alive and not self._server.closing
+            # A request that was read behind this one is answered, too.
+            is_last = self._server.closing and not self._pending
+            keep_alive = request.keep_alive and not is_last
             is_head = request.method == 'HEAD'
         else:
             self._refused_head = request.answer is not None
@@ -353,7 +352,7 @@
         if not keep_alive:
             self._finished = True
             self._sock.shutdown(SHUT_WR)
-        if self._evicted:
+        if self._evicted and isinstance(request, RequestRejected):
             # Its caller has stalled, so there is nothing to wait for.
             gevent.kill(self._reading, CallerDisconnected('no room'))
 
--- a/currantmast/direct/notices.py
+++ b/currantmast/direct/notices.py
@@ -35,12 +35,20 @@
             self._leaving.add(target_id)
             log_event('target_leaving', target=target_id)
 
-    def note_pause(self, target_id: str, seconds: float) -> None:
-        """Record that a target wants nothing from this instance for some seconds."""
+    def note_pause(self, target_id: str, seconds: float) -> bool:
+        """Record that a target wants nothing from this instance for some seconds.
+
+        Returns
+        -------
+        bool
+            Whether that is longer than known before.
+        """
         until = self._clock.now() + min(MAX_PAUSE_S, seconds)
-        if until > self._paused_until.get(target_id, 0):
+        is_longer = until > self._paused_until.get(target_id, 0)
+        if is_longer:
             self._paused_until[target_id] = until
             log_event('target_paused', target=target_id, for_s=seconds)
+        return is_longer
 
     def forget(self, target_id: str) -> None:
         """Drop the notices of a run that has ended."""
--- a/currantmast/direct/returns.py
+++ b/currantmast/direct/returns.py
@@ -20,6 +20,9 @@
 # at that time if it was told a later one.
 MAX_TIME_FRACTION = 1 / 3
 
+# Longest time in seconds until a return, whatever time the caller has.
+MAX_RETURN_S = 20.0
+
 # Steps into which a hash divides the interval between two callers.
 SPREAD_STEPS = 1000
 
@@ -90,7 +93,7 @@
         if line.booked_at > begin_at:
             begin_at = line.booked_at + interval_s * _spread(refused.request_id)
         after_s = begin_at - now
-        latest_s = refused.time_left_s * MAX_TIME_FRACTION
+        latest_s = min(MAX_RETURN_S, refused.time_left_s * MAX_TIME_FRACTION)
         if after_s > latest_s:
             # It comes back by then whatever it is told, so no time is booked for it.
             return latest_s
--- a/currantmast/direct/steering.py
+++ b/currantmast/direct/steering.py
@@ -36,7 +36,11 @@
 from currantmast.direct.returns import RefusedCaller, ReturnTimes
 from currantmast.direct.targets import Load, Target
 from currantmast.direct.updates import Topic
-from currantmast.direct.waiting import WAIT_FRACTION, WaitingRequests
+from currantmast.direct.waiting import (
+    MAX_WAIT_S,
+    WAIT_FRACTION,
+    WaitingRequests,
+)
 from currantmast.errors import (
     AnswerIncomplete,
     AnswerTooLarge,
@@ -128,22 +132,27 @@
         if not isinstance(choice, NoCapacity) or not attempts.may_wait(choice):
             return choice
         started = self._clock.now()
+        longest_s = min(MAX_WAIT_S, admission.route.latency_objective_s * WAIT_FRACTION)
         wait = self._waiting.begin(
             admission.service,
             admission.urgency,
-            admission.started_at + admission.route.latency_objective_s * WAIT_FRACTION,
+            min(admission.deadline_at, admission.started_at + longest_s),
         )
         if wait is None:
             return choice
+        refusal = choice
         with wait:
             self._meter.set_gauge('waiting_requests', self._waiting.count())
             while isinstance(choice, NoCapacity) and wait.sleep():
+                if not attempts.has_attempt_left():
+                    break
                 choice = attempts.choose()
             wait.found = not isinstance(choice, NoCapacity)
         attempts.waited_s += self._clock.now() - started
         self._meter.set_gauge('waiting_requests', self._waiting.count())
         self._meter.set_gauge('waiting_closed_levels', self._waiting.count_closed())
-        return choice
+        # Requests that waited beside this one may have used the budget meanwhile.
+        return choice if attempts.affords_retry() else refusal
 
     def _plan_return(
         self, admission: Admission, result: AttemptResult
@@ -180,20 +189,11 @@
             log_event('target_unreachable', target=target.record.id, error=error)
             return NotRun(Reason.unreachable)
         except ExchangeBroken as error:
-            target.note_failure()
+            elapsed_s = self._clock.now() - started
             self._crash_watch.note_break(
                 inbound, admission.team_name, target.record, error
             )
-            _log_oversize(self._meter, admission, target, error)
-            elapsed_s = self._clock.now() - started
-            self._state.placement.note_served(admission.service, choice, elapsed_s)
-            self._state.stop.note_answer(admission.service, elapsed_s)
-            if admission.by_cost and isinstance(error, ProgressTimeout):
-                work = Work(admission.service, admission.route.name)
-                self._state.placement.by_cost.costs.note_timeout(
-                    work, choice, elapsed_s
-                )
-            return OutcomeUnknown(_get_failure_reason(error))
+            return self._record_break(admission, choice, error, elapsed_s)
         finally:
             target.in_flight -= 1
             self._waiting.note_room(admission.service)
@@ -202,6 +202,23 @@
             self._crash_watch.note_answer(inbound, admission.team_name)
         return result
 
+    def _record_break(
+        self,
+        admission: Admission,
+        choice: Choice,
+        error: ExchangeBroken,
+        elapsed_s: float,
+    ) -> OutcomeUnknown:
+        if not _is_own_limit(error):
+            choice.target.note_failure()
+        _log_oversize(self._meter, admission, choice.target, error)
+        self._state.placement.note_served(admission.service, choice, elapsed_s)
+        self._state.stop.note_answer(admission.service, elapsed_s)
+        if admission.by_cost and isinstance(error, ProgressTimeout):
+            work = Work(admission.service, admission.route.name)
+            self._state.placement.by_cost.costs.note_timeout(work, choice, elapsed_s)
+        return OutcomeUnknown(_get_failure_reason(error))
+
     def _exchange(
         self, inbound: InboundRequest, admission: Admission, target: Target
     ) -> Answer:
@@ -358,10 +375,11 @@
 ) -> None:
     if target_answer.leaving:
         notices.note_leaving(target.record.id)
-    if target_answer.pause_s:
-        notices.note_pause(target.record.id, target_answer.pause_s)
-        slots = target.record.slots
-        target.ramp_up.begin(RampCause.pause, slots, target_answer.pause_s)
+    if target_answer.pause_s and notices.note_pause(
+        target.record.id, target_answer.pause_s
+    ):
+        pause_s = notices.get_pause(target.record.id)
+        target.ramp_up.begin(RampCause.pause, target.record.slots, pause_s)
 
 
 def _encode_result(wire: WireFormat, result: AttemptResult) -> OutboundAnswer:
@@ -391,3 +409,8 @@
             target=target.record.id,
             kind=error.kind,
         )
+
+
+def _is_own_limit(error: ExchangeBroken) -> bool:
+    """Return whether this instance, not the target, ended an exchange."""
+    return isinstance(error, AnswerTooLarge) and error.kind == 'memory'
--- a/currantmast/direct/waiting.py
+++ b/currantmast/direct/waiting.py
@@ -19,10 +19,16 @@
 # Longest wait, as a fraction of the latency objective.
 WAIT_FRACTION = 0.12
 
+# Longest wait in seconds; shorter than the margin of the lease that was checked before.
+MAX_WAIT_S = 0.5
+
 # Seconds between looks for room, and those after which a look is made without news.
 POLL_S = 0.01
 MAX_POLL_S = 0.05
 
+# Seconds between the looks of one request for each that waits, which bounds their cost.
+POLL_PER_WAITING_S = 0.002
+
 # Requests that may wait at one instance at once. Each holds its body in memory.
 MAX_WAITING = 64
 
@@ -132,7 +138,10 @@
             self._clock.sleep(POLL_S)
             changes = self._requests.count_changes(self._key[0])
             now = self._clock.now()
-            if changes != self._changes or now - self._looked_at >= MAX_POLL_S:
+            rested_s = now - self._looked_at
+            if rested_s < POLL_PER_WAITING_S * self._requests.count():
+                continue
+            if changes != self._changes or rested_s >= MAX_POLL_S:
                 self._changes = changes
                 self._looked_at = now
                 if self._requests.is_preceded(self._key):
@@ -204,16 +213,27 @@
 
     def note_end(self, key: tuple[str, Urgency], *, found: bool) -> None:
         """Record how a wait ended, and log it if that opens or closes a level."""
+        self._note(key, found=found)
+        service, urgency = key
+        if found:
+            # Closed levels of more urgent requests, of which none may come for long.
+            for name, other in tuple(self.levels):
+                closed = not self.levels[name, other].is_open
+                if closed and name == service and other < urgency:
+                    self._note((name, other), found=True)
+
+    def _note(self, key: tuple[str, Urgency], *, found: bool) -> None:
         level = self._get_level(*key)
-        if level.note(found):
-            service, urgency = key
-            log_event(
-                'waiting_opened' if level.is_open else 'waiting_closed',
-                service=service,
-                urgency=str(urgency),
-                success=level.success,
-                waiting=self.count(),
-            )
+        if not level.note(found):
+            return
+        service, urgency = key
+        log_event(
+            'waiting_opened' if level.is_open else 'waiting_closed',
+            service=service,
+            urgency=str(urgency),
+            success=level.success,
+            waiting=self.count(),
+        )
 
     def _is_open(self, service: str, urgency: Urgency) -> bool:
         """Return whether requests wait; not while more urgent ones find no room."""
--- a/currantmast/platform/configurations.py
+++ b/currantmast/platform/configurations.py
@@ -4,6 +4,7 @@
 read of it keeps its requests from being handled by the entries that remain.
 """
 
+import re
 from collections.abc import Callable, Iterator, Mapping
 from types import MappingProxyType
 from typing import Annotated, Any
@@ -35,6 +36,10 @@
     name: str = ''
 
 
+# Form of a version number, which every encoding between instances can carry.
+VERSION_FORM = re.compile('[0-9a-fA-F]{1,8}')
+
+
 class _Config(msgspec.Struct):
     # Number as eight hexadecimal digits.
     version: str
@@ -123,6 +128,8 @@
     """
     config = msgspec.convert(spec, _Config)
     reading = _Reading()
+    if not VERSION_FORM.fullmatch(config.version):
+        raise ValueError('version must be one to eight hexadecimal digits')
     version = int(config.version, 16)
     for index, resource in enumerate(config.resources):
         reading.read(f'resources[{index}]', resource)
--- a/currantmast/platform/store.py
+++ b/currantmast/platform/store.py
@@ -131,7 +131,7 @@
         kind = OBJECT_KINDS[Topic.configuration]
         answer = self._call('GET', f'/objects/{kind}/{CONFIGURATION_NAME}')
         _raise_for_status(answer)
-        return answer.body
+        return bytes(answer.body)
 
     def put_instance(self, record: InstanceRecord) -> None:
         """Create or replace the record of an instance.
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -133,6 +133,7 @@
     [
         {'version': 12},
         {'version': 'not hexadecimal'},
+        {'version': 'f' * 9},
         {'resources': None},
         {'resources': {}},
     ],
