--- a/tests/integration/test_platform_answers.py
+++ b/tests/integration/test_platform_answers.py
@@ -121,7 +121,9 @@
                 'Cookie': f'X-Currantmast-Affinity-Key={next(numbers)}',
             }
             method = 'POST' if body else 'GET'
-            answer = exchange(client, Request(method, path, headers, body), 6)
+            # Each path is new, as a request whose targets all go is refused in the end.
+            url = f'{path}{next(numbers)}'
+            answer = exchange(client, Request(method, url, headers, body), 6)
             if target.ids:
                 return answer
             gevent.sleep(0.1)
