--- a/currantmast/direct/admission.py
+++ b/currantmast/direct/admission.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from currantmast.direct.attempts import MIN_RETRY_AFTER_S, Admission
-from currantmast.direct.inbound import Admitted, InboundRequest, OutboundAnswer
+from currantmast.direct.inbound import AdmittedHead, InboundRequest, OutboundAnswer
 from currantmast.direct.instance_state import InstanceState
 from currantmast.direct.meters import Meter
 from currantmast.direct.model import Route, Team
@@ -64,7 +64,7 @@
             return checked
         return self._make_admission(call, checked, inbound.received_at)
 
-    def admit_head(self, head: InboundRequest) -> OutboundAnswer | Admitted:
+    def admit_head(self, head: InboundRequest) -> OutboundAnswer | AdmittedHead:
         """Decide on a large request before its body is read.
 
         Its team's rate is used now; the rest is decided again with the whole request.
@@ -74,7 +74,7 @@
         if isinstance(checked, OutboundAnswer):
             return checked
         team = checked.team
-        return Admitted(team.name if team else '')
+        return AdmittedHead(team.name if team else '')
 
     def refuse(
         self,
--- a/currantmast/direct/affinity.py
+++ b/currantmast/direct/affinity.py
@@ -51,7 +51,7 @@
 
 def rank_object(object_key: str, region: str) -> float:
     """Return the rank of an object from 0 to 1; the highest leave `region` first."""
-    return score_target(object_key, region) % RANK_STEPS / RANK_STEPS
+    return hash_object(object_key, region) % RANK_STEPS / RANK_STEPS
 
 
 def find_affinity_targets(
@@ -79,7 +79,7 @@
         ids_by_region.setdefault(target.record.location.region, []).append(
             target.record.id
         )
-    local = sorted(ids_by_region.pop(region, ()), key=partial(score_target, object_key))
+    local = sorted(ids_by_region.pop(region, ()), key=partial(hash_object, object_key))
     copies = _count_copies(local, object_count)
     overflow = _find_overflow(object_key, list(ids_by_region.values()), object_count)
     # When the region can't cache all objects, it caches those of low rank.
@@ -96,7 +96,7 @@
         ids for ids in others if _count_copies(ids, object_count) >= COPIES_FOR_OVERFLOW
     ]
     ids = chain.from_iterable(large_enough or others)
-    return frozenset(sorted(ids, key=partial(score_target, object_key))[:1])
+    return frozenset(sorted(ids, key=partial(hash_object, object_key))[:1])
 
 
 def _count_copies(ids: list[str], object_count: int) -> float:
@@ -105,6 +105,6 @@
 
 
 @lru_cache(maxsize=65_536)
-def score_target(object_key: str, name: str) -> int:
+def hash_object(object_key: str, name: str) -> int:
     """Return the hash of an object and a target id or region, for rendezvous hashing."""
     return xxhash.xxh3_64_intdigest(f'{object_key}|{name}'.encode())
--- a/currantmast/direct/connectionslots.py
+++ b/currantmast/direct/connectionslots.py
@@ -9,9 +9,9 @@
 # Descriptors that files take.
 FILE_DESCRIPTORS = 200
 
-# Part of the other descriptors that callers may take; the store, members and targets use
+# Fraction of the other descriptors that callers may take; the store, members and targets use
 # the rest.
-CALLER_PART = 3 / 4
+CALLER_FRACTION = 3 / 4
 
 
 class SlotUse(Enum):
@@ -35,7 +35,7 @@
 def compute_connections(max_fds: int) -> int:
     """Return how many connections of callers a process with these descriptors takes."""
     left = max(1, max_fds - FILE_DESCRIPTORS)
-    return max(1, min(MAX_CONNECTIONS, int(left * CALLER_PART)))
+    return max(1, min(MAX_CONNECTIONS, int(left * CALLER_FRACTION)))
 
 
 class ConnectionSlots:
--- a/currantmast/direct/copies.py
+++ b/currantmast/direct/copies.py
@@ -16,8 +16,8 @@
 from currantmast.direct.affinity import (
     CACHE_FRACTION,
     COPIES_FOR_OVERFLOW,
+    hash_object,
     rank_object,
-    score_target,
 )
 from currantmast.direct.model import Location
 from currantmast.direct.targets import CACHED_OBJECTS, Target
@@ -40,7 +40,7 @@
     remote = 'remote'
     spare = 'spare'
     strange = 'strange'
-    keyless = 'keyless'
+    no_object = 'no_object'
 
 
 class Copy(msgspec.Struct, frozen=True):
@@ -78,7 +78,7 @@
     for target in targets:
         location = target.record.location
         sizes[location.region] += 1
-        score = score_target(demand.key, target.record.id)
+        score = hash_object(demand.key, target.record.id)
         found = best.get(location.failure_domain)
         if found is None or score < found[0]:
             best[location.failure_domain] = (score, target)
--- a/currantmast/direct/costplacement.py
+++ b/currantmast/direct/costplacement.py
@@ -73,7 +73,7 @@
     def is_unkept(self) -> bool:
         """Return whether no target of the local region is to cache the object."""
         kinds = {option.copy for option, _ in self.checked}
-        return kinds.isdisjoint((CopyKind.first, CopyKind.second, CopyKind.keyless))
+        return kinds.isdisjoint((CopyKind.first, CopyKind.second, CopyKind.no_object))
 
 
 class CostPlacement:
@@ -201,7 +201,7 @@
         self, requirements: Requirements, others: list[Target], limits: LoadLimits
     ) -> list[Copy]:
         """Return some targets with room that don't cache the object."""
-        kind = CopyKind.strange if requirements.object_key else CopyKind.keyless
+        kind = CopyKind.strange if requirements.object_key else CopyKind.no_object
         excluded = requirements.limited.exhausted
         if requirements.object_key:
             excluded = excluded | requirements.limited.scarce
--- a/currantmast/direct/crossing.py
+++ b/currantmast/direct/crossing.py
@@ -7,12 +7,10 @@
 
 from currantmast.direct.spillover import DEVIATION_FRACTION, MIN_DEVIATION
 
-# Price in seconds when as many requests crossed in excess of the share as may at all; the
-# negative price when as few did.
+# Price in seconds at the largest excess over the share, negated at the largest shortfall.
 MAX_PRICE_S = 0.4
 
-# Limit of the balance from which the price goes so far. With fewer requests a single one
-# would change it too much.
+# Least limit used for the price; below it one request would change the price too much.
 MIN_PRICED_LIMIT = 6.0
 
 
--- a/currantmast/direct/front.py
+++ b/currantmast/direct/front.py
@@ -227,6 +227,7 @@
 
     def _end(self, task: Greenlet) -> None:
         """End the task, give back the memory of unanswered requests, and close."""
+        # Keeps the answering task from ending this one a second time.
         self._evicted = False
         try:
             task.kill()
@@ -251,8 +252,8 @@
     def _read_part(self) -> int:
         """Read and parse what arrives next; return its size in bytes.
 
-        A caller of this must not refer to the bytes while it waits for more: thousands
-        of connections would each keep a part.
+        The bytes are local to this call, so that a connection that waits for more keeps
+        none.
         """
         received = self._receive()
         if received is None:
--- a/currantmast/direct/heap.py
+++ b/currantmast/direct/heap.py
@@ -9,8 +9,8 @@
 
 from currantmast.direct.memory import BYTES_PER_MB, MemoryBudget
 
-# Allocations from this size on are returned at once. Setting it keeps the C library from
-# raising it, and lies below the size of a block of a body.
+# Smallest allocation in bytes that is returned at once; below the size of a body's block.
+# A fixed value keeps the C library from raising it.
 DIRECT_BYTES = 131_072
 
 # Number of the setting in the C library.
--- a/currantmast/direct/hitrates.py
+++ b/currantmast/direct/hitrates.py
@@ -17,7 +17,7 @@
         CopyKind.remote: 0.5,
         CopyKind.spare: 0.3,
         CopyKind.strange: 0.05,
-        CopyKind.keyless: 1.0,
+        CopyKind.no_object: 1.0,
     }
 )
 INITIAL_RECENT_RATE = 0.95
--- a/currantmast/direct/inbound.py
+++ b/currantmast/direct/inbound.py
@@ -122,13 +122,13 @@
     reason: str = ''
 
 
-class Admitted(msgspec.Struct, frozen=True):
+class AdmittedHead(msgspec.Struct, frozen=True):
     """A request is admitted by its head; `team` sends its body, empty if unknown."""
 
     team: str = ''
 
 
-HeadHandler = Callable[[InboundRequest], OutboundAnswer | Admitted]
+HeadHandler = Callable[[InboundRequest], OutboundAnswer | AdmittedHead]
 
 
 class RequestReader:
@@ -349,9 +349,9 @@
     return RequestRejected(status, 'no room for the body', answer)
 
 
-def admit_all(head: InboundRequest) -> Admitted:
+def admit_all(head: InboundRequest) -> AdmittedHead:
     """Admit each request by its head."""
-    return Admitted()
+    return AdmittedHead()
 
 
 def encode_answer(answer: OutboundAnswer, keep_alive: bool, is_head: bool) -> bytes:
--- a/currantmast/direct/memory.py
+++ b/currantmast/direct/memory.py
@@ -22,14 +22,14 @@
 # Smallest budget, for machines on which the process itself hardly fits.
 MIN_LIMIT_BYTES = 8 * BYTES_PER_MB
 
-# Bodies up to this size may use the whole budget, larger ones all but a part of it.
+# Bodies up to this size may use the whole budget, larger ones all but a fraction of it.
 SMALL_BYTES = 65_536
-SMALL_PART = 1 / 8
+SMALL_FRACTION = 1 / 8
 
-# Parts of the room for large holders: from the first on it counts as scarce, and then one
-# team may use no more than the second with more than one body.
-SCARCE_PART = 3 / 4
-TEAM_PART = 1 / 2
+# Fraction of the large holders' room above which it is scarce, and the fraction that a team
+# may then use with more than one body.
+SCARCE_FRACTION = 3 / 4
+TEAM_FRACTION = 1 / 2
 
 # Room that a body without an announced length asks for ahead of what has arrived.
 STEP_BYTES = 262_144
@@ -41,8 +41,8 @@
 # Shortest time in seconds between two searches for a stalled holder that found none.
 SEARCH_INTERVAL_S = 0.05
 
-# Part of the limit below which pressure has ended.
-RELAXED_PART = 1 / 2
+# Fraction of the limit below which pressure has ended.
+RELAXED_FRACTION = 1 / 2
 
 
 def compute_limit(memory_mb: float) -> int:
@@ -76,7 +76,7 @@
         # Holders that can be closed, and the large bytes of each team.
         self.holders: dict[Reservation, None] = {}
         self.by_team: Counter[str] = Counter()
-        self._large_limit = int(limit * (1 - SMALL_PART))
+        self._large_limit = int(limit * (1 - SMALL_FRACTION))
         self._next_search_at: float = 0
 
     def __repr__(self) -> str:
@@ -103,8 +103,10 @@
         if wanted > self._large_limit:
             return False
         own = self.by_team[team]
-        is_scarce = wanted > self._large_limit * SCARCE_PART
-        return not (is_scarce and own and own + size > self._large_limit * TEAM_PART)
+        is_scarce = wanted > self._large_limit * SCARCE_FRACTION
+        return not (
+            is_scarce and own and own + size > self._large_limit * TEAM_FRACTION
+        )
 
     def close_stalled(self) -> bool:
         """End the holder that has not moved for longest; return whether there was one."""
@@ -129,7 +131,7 @@
 
     def end_pressure(self) -> None:
         """Note the end of pressure once enough has been given back."""
-        if self.held < self.limit * RELAXED_PART:
+        if self.held < self.limit * RELAXED_FRACTION:
             self.is_pressed = False
 
 
--- a/currantmast/direct/queries.py
+++ b/currantmast/direct/queries.py
@@ -80,7 +80,7 @@
             'targets': len(state.targets),
             'targets_limited': len(state.target_limits),
             'requests_suspected': len(state.targets.crashing_requests),
-            'targets_ramping': len(state.ramping),
+            'targets_ramping': state.ramping.count_active(),
             'members': len(state.members),
             'members_ready': len(state.members.list_ready()),
             'entry_instances': len(state.members.entries),
--- a/currantmast/direct/ramping.py
+++ b/currantmast/direct/ramping.py
@@ -36,13 +36,13 @@
         self._targets = targets
         self._ranks = cold_start_limit
 
-    def __len__(self) -> int:
-        """Return the number of targets that ramp up."""
+    def count_active(self) -> int:
+        """End the ramp-ups that are due, and return the number of the others."""
         return sum(not self._is_over(target) for target in self._targets.list_all())
 
     def __repr__(self) -> str:
         """Return a short description for debugging."""
-        return f'<Ramping targets={len(self)}>'
+        return '<Ramping>'
 
     def may_send(self, target: Target) -> bool:
         """Return whether the ramp-up of `target`, if any, allows a request now."""
--- a/currantmast/direct/retries.py
+++ b/currantmast/direct/retries.py
@@ -15,7 +15,7 @@
 # Retries by which the most urgent requests may overdraw the budget of one instance, and
 # the fraction of a budget's burst that the least urgent leave to others.
 MAX_OVERDRAFT = 0.5
-MAX_RESERVE = 0.5
+MAX_KEPT_FRACTION = 0.5
 
 
 class RetryBudgets:
@@ -60,7 +60,7 @@
         reserve to others. Both are small beside what the requests of a moment add.
         """
         overdraft = (1 - rank) * min(MAX_OVERDRAFT, self._compute_extra(bounds))
-        reserve = rank * MAX_RESERVE * (self._compute_burst(bounds) - 1)
+        reserve = rank * MAX_KEPT_FRACTION * (self._compute_burst(bounds) - 1)
         return self._get_bucket(service, bounds).count() >= 1 + reserve - overdraft
 
     def spend(self, service: str, bounds: Bounds) -> None:
--- a/currantmast/direct/returns.py
+++ b/currantmast/direct/returns.py
@@ -48,17 +48,17 @@
 class _Line:
     """Callers of one service and urgency that were told when to come back."""
 
-    __slots__ = ('booked_at', 'pace')
+    __slots__ = ('booked_until', 'pace')
 
     def __init__(self, clock: Clock) -> None:
         # Requests that found room.
         self.pace = DemandMeter(clock)
         # Time in seconds up to which all times are given to callers.
-        self.booked_at = clock.now()
+        self.booked_until = clock.now()
 
     def __repr__(self) -> str:
         """Return a short description for debugging."""
-        return f'<_Line booked_at={self.booked_at:.2f}>'
+        return f'<_Line booked_until={self.booked_until:.2f}>'
 
 
 class ReturnTimes:
@@ -90,20 +90,24 @@
         now = self._clock.now()
         interval_s = 1 / max(MIN_PACE, line.pace.measure())
         begin_at = now + refused.earliest_s
-        if line.booked_at > begin_at:
-            begin_at = line.booked_at + interval_s * _spread(refused.request_id)
+        if line.booked_until > begin_at:
+            begin_at = line.booked_until + interval_s * _spread(refused.request_id)
         after_s = begin_at - now
         latest_s = min(MAX_RETURN_S, refused.time_left_s * MAX_TIME_FRACTION)
         if after_s > latest_s:
             # It comes back by then whatever it is told, so no time is booked for it.
             return latest_s
-        line.booked_at = max(line.booked_at, now + refused.earliest_s) + interval_s
+        line.booked_until = (
+            max(line.booked_until, now + refused.earliest_s) + interval_s
+        )
         return after_s
 
     def measure_backlog(self) -> float:
         """Return the seconds until all refused callers are asked back."""
         now = self._clock.now()
-        return max((line.booked_at - now for line in self._lines.values()), default=0)
+        return max(
+            (line.booked_until - now for line in self._lines.values()), default=0
+        )
 
     def _get_line(self, service: str, urgency: Urgency) -> _Line:
         key = (service, urgency)
--- a/currantmast/direct/rooms.py
+++ b/currantmast/direct/rooms.py
@@ -10,7 +10,7 @@
 from currantmast.direct.inbound import RequestReader
 from currantmast.direct.memory import MemoryBudget
 
-# Memory of one connection: its tasks, parser and buffers, and a small body.
+# Memory of one connection: tasks, parser, buffers, and a body of a few KiB.
 CONNECTION_BYTES = 28_672
 
 # Longest time in seconds for which a body is not read as it has no room, the poll
--- a/currantmast/direct/slowdowns.py
+++ b/currantmast/direct/slowdowns.py
@@ -11,8 +11,8 @@
 
 from currantmast.clocks import Clock
 
-# Half-life in seconds of a reported slowdown, and of one that lasts: reported for so long,
-# with no gap between reports that is longer and none that tells the usual pace.
+# Half-lives in seconds of a reported slowdown. The longer one applies once reports, never
+# more than `LASTING_S` apart, have told only slowdowns for `LASTING_S`.
 SLOWDOWN_HALF_LIFE_S = 0.3
 LASTING_HALF_LIFE_S = 2.0
 LASTING_S = 1.0
--- a/currantmast/direct/steering.py
+++ b/currantmast/direct/steering.py
@@ -21,7 +21,7 @@
 from currantmast.direct.costs import Work
 from currantmast.direct.crashwatch import CrashWatch
 from currantmast.direct.exchanges import TargetConnections
-from currantmast.direct.inbound import Admitted, InboundRequest, OutboundAnswer
+from currantmast.direct.inbound import AdmittedHead, InboundRequest, OutboundAnswer
 from currantmast.direct.instance_state import InstanceState
 from currantmast.direct.meters import Meter
 from currantmast.direct.notices import TargetNotices
@@ -104,7 +104,7 @@
         self._log_result(admission, attempts, result)
         return _encode_result(self._wire, result)
 
-    def admit_head(self, head: InboundRequest) -> OutboundAnswer | Admitted:
+    def admit_head(self, head: InboundRequest) -> OutboundAnswer | AdmittedHead:
         """Decide on a large request before its body is read."""
         return self._admissions.admit_head(head)
 
