Keep the name of admitted requests in the own interface

Cause: the rename of a class of direct/ also met one of the same name there. Change: taken back outside direct/. Measured: tests of commands, admission, routing, requests and front passed.

--- a/currantmast/decisions/admission.py
+++ b/currantmast/decisions/admission.py
@@ -91,7 +91,7 @@
         )
 
 
-class AdmittedHead(msgspec.Struct, frozen=True):
+class Admitted(msgspec.Struct, frozen=True):
     """The result of admission for a request that may run.
 
     Parameters
@@ -169,7 +169,7 @@
 
     def admit(
         self, request: AdmissionRequest, *, demand_counted: bool = False
-    ) -> AdmittedHead | NotRun:
+    ) -> Admitted | NotRun:
         """Return the admitted request, or the reason for its refusal.
 
         The rate is checked last, so that only admitted requests use rate tokens.
@@ -196,7 +196,7 @@
             or self._refuse_limits(request, service, timeout_s)
             or self._refuse_rate(team, demand_counted=demand_counted)
         )
-        return refusal or AdmittedHead(
+        return refusal or Admitted(
             team=team and team.id,
             service=service,
             deadline_at=self._clock.now() + timeout_s,
