Take the rename back in the test of the own interface's admission, too

Change: tests/test_admission.py as it was. Measured: tests of commands, admission, routing, requests and front passed.

--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -6,7 +6,7 @@
 from currantmast.decisions.admission import (
     Admission,
     AdmissionRequest,
-    AdmittedHead,
+    Admitted,
     digest_key,
 )
 from currantmast.deployment import (
@@ -115,9 +115,7 @@
 def test_withdrawn_key_fails_and_an_older_version_does_not_restore_it(admission):
     """Guards against an old configuration that arrives late and restores a revoked key."""
     for key in (KEY, ISSUED_KEY):
-        assert isinstance(
-            admission.admit(AdmissionRequest('orders', key)), AdmittedHead
-        )
+        assert isinstance(admission.admit(AdmissionRequest('orders', key)), Admitted)
     admission.set_configuration(make_configuration(3, (KEY, ISSUED_KEY)))
     admission.set_configuration(make_configuration(2))
     for key in (KEY, ISSUED_KEY):
@@ -162,7 +160,7 @@
     expected = []
     for request, lease.valid in sequence:
         answer = admission.admit(request)
-        if isinstance(answer, AdmittedHead):
+        if isinstance(answer, Admitted):
             assert lease.valid
             assert answer.team == teams[request.key]
             expected += [f'team:{answer.team}'] if answer.team else []
