Test what the review of the merged parts found

Cause: the mends had no tests of their own. Change: answers reach ramp-ups under both placements, a pause told again, waits after a surge of urgent requests, the cost of looks for room, answers during the check for a crash, bounded reports, a planned stop beside an ended connection and with a request behind the answered one. Measured: they pass; the code before the mends was not run with them.

--- a/tests/test_direct_crashes.py
+++ b/tests/test_direct_crashes.py
@@ -8,6 +8,7 @@
     CLEARED_TTL_S,
     MAX_CRASHES,
     MAX_SUSPECTS,
+    MAX_TOLD,
     SUSPECT_TTL_S,
     CrashingRequests,
     make_fingerprint,
@@ -132,3 +133,23 @@
         gevent.sleep(0)
     assert watch.is_refused(inbound, 'a') is suspected
     assert not watch.is_refused(inbound, 'b')
+
+
+def test_answer_while_a_target_is_checked_clears_the_request(clock):
+    """Guards against refusing a request that another target has answered meanwhile."""
+    crashing = CrashingRequests(clock)
+    watch = CrashWatch(crashing, FakeConnections(refuses=True))
+    target = TargetRecord('t1', 's', Address('127.0.0.1', 1), Location('r', 'd'), 1)
+    inbound = InboundRequest('POST', '/x', [], b'', keep_alive=True, received_at=0)
+    watch.note_break(inbound, 'a', target, ExchangeBroken('reset'))
+    watch.note_answer(inbound, 'a')
+    gevent.sleep(0)
+    assert not crashing
+
+
+def test_report_is_bounded_also_for_cleared_requests(clock):
+    member = CrashingRequests(clock)
+    for number in range(MAX_TOLD + 1):
+        member.note_crash(f'q{number}', 't1')
+        member.note_answer(f'q{number}')
+    assert len(member.make_report()) == MAX_TOLD
--- a/tests/test_direct_front.py
+++ b/tests/test_direct_front.py
@@ -283,3 +283,23 @@
         assert read_all(sock).endswith(b'\r\n\r\n' + b'z' * size)
         gevent.sleep(0.05)
         assert server.resources.budget.held == CONNECTION_BYTES
+
+
+def test_connection_that_has_ended_does_not_break_a_planned_stop():
+    """Guards against a stop that fails, as a caller has just closed its connection."""
+    with open_front(echo) as server, connect(server) as sock:
+        sock.sendall(b'GET /a HTTP/1.1\r\nHost: h\r\n\r\n')
+        assert sock.recv(65_536)
+        (connection,) = server._connections
+        connection._sock.shutdown(std_socket.SHUT_RDWR)
+        sock.close()
+        server.stop_accepting()
+
+
+def test_request_behind_the_answered_one_is_answered_in_a_planned_stop():
+    """Guards against dropping a request that was read before the stop began."""
+    with open_front(echo) as server, connect(server) as sock:
+        head = b'GET /a HTTP/1.1\r\nHost: h\r\n\r\n'
+        sock.sendall(head * 2)
+        server.disable_keep_alive()
+        assert read_all(sock).count(b'HTTP/1.1 200') == 2
--- a/tests/test_direct_overload.py
+++ b/tests/test_direct_overload.py
@@ -19,7 +19,12 @@
 from currantmast.direct.retries import RetryBudgets
 from currantmast.direct.returns import RefusedCaller, ReturnTimes
 from currantmast.direct.urgency import Urgency, UrgencyRanks, make_urgency
-from currantmast.direct.waiting import MAX_WAITING, WaitingRequests, WaitLevel
+from currantmast.direct.waiting import (
+    MAX_WAITING,
+    POLL_PER_WAITING_S,
+    WaitingRequests,
+    WaitLevel,
+)
 
 BOUNDS = Bounds(retry_ratio=0.2, retry_extra=200, retry_window_s=10)
 USUAL = Urgency(1, 1)
@@ -201,6 +206,31 @@
     assert all(found)
 
 
+def test_less_urgent_wait_again_though_the_more_urgent_no_longer_come():
+    """Load: a surge of urgent requests that ends, while others go on."""
+    room = Room()
+    while room.waiting.levels.get(('desk', USUAL), WaitLevel()).is_open:
+        room.wait(9)
+    for _ in range(40):
+        room.clock.advance(1)
+        room.wait(0.02, Urgency(2, 1))
+    assert room.waiting.levels['desk', USUAL].is_open
+
+
+def test_looks_for_room_are_bounded_while_many_wait():
+    """Load: answers come all the time, and many requests look for room at each."""
+    room = Room()
+    looks = 0
+    with ExitStack() as stack:
+        for _ in range(MAX_WAITING - 1):
+            stack.enter_context(room.waiting.begin('desk', USUAL, 200))
+        wait = stack.enter_context(room.waiting.begin('desk', USUAL, 101))
+        while wait.sleep():
+            room.waiting.note_room('desk')
+            looks += 1
+    assert looks <= 1 / (POLL_PER_WAITING_S * MAX_WAITING)
+
+
 def test_no_more_wait_than_memory_is_planned_for():
     room = Room()
     waits = [room.waiting.begin('desk', USUAL, 200) for _ in range(MAX_WAITING)]
--- a/tests/test_direct_rampup.py
+++ b/tests/test_direct_rampup.py
@@ -2,6 +2,7 @@
 
 import io
 from types import SimpleNamespace
+from unittest.mock import Mock
 
 import pytest
 from test_direct_steering import OK, SteeringHarness, make_route, make_target
@@ -15,6 +16,7 @@
     Service,
     TargetRecord,
 )
+from currantmast.direct.notices import TargetNotices
 from currantmast.direct.ramping import Ramping
 from currantmast.direct.rampup import MAX_RAMP_S, RampCause, RampUp, Situation
 from currantmast.direct.reports import (
@@ -302,3 +304,21 @@
     state.ramping.note_peers({**levels, 't2': 1, 'gone': 1})
     assert state.ramping.count_active() == 1
     assert state.targets.get('t1').ramp_up.level == 1
+
+
+@pytest.mark.parametrize('priority', [0, 1])
+def test_answers_count_for_a_ramp_up_under_both_placements(priority):
+    """Guards against ramp-ups that only time moves on, as no answer reaches them."""
+    target = make_target('t1')
+    harness = SteeringHarness(OK, route=make_route(priority=priority), targets=[target])
+    target = harness.state.targets.get('t1')
+    target.ramp_up = Mock(wraps=target.ramp_up)
+    assert harness.ask().status == 200
+    target.ramp_up.note_answer.assert_called_once()
+
+
+def test_pause_that_is_told_again_does_not_begin_the_ramp_up_anew():
+    """Guards against a target that never ends its ramp-up, as it tells its pause often."""
+    notices = TargetNotices(ManualClock(100))
+    assert notices.note_pause('t1', 2)
+    assert not notices.note_pause('t1', 1)
