--- a/review/bench2/fleet.py
+++ b/review/bench2/fleet.py
@@ -7,6 +7,7 @@
 import copy
 import json
 import os
+import random
 import signal
 import socket
 import sys
@@ -46,27 +47,34 @@
         self.file.write(f'{self.now():8.3f} ' + ' '.join(map(str, words)) + '\n')
 
 
+_given = set()
+
+
 def free_ports(count, adjacent=0):
-    """Return free ports; the first `adjacent` of them follow one another."""
-    while True:
+    """Return free ports; the first `adjacent` of them follow one another.
+
+    They lie below the kernel's usual range for outgoing connections, so that none of
+    these takes one while a process is started again.
+    """
+    for _ in range(1000):
+        first = random.randrange(12_000, 30_000)
+        ports = [first + number for number in range(adjacent)]
+        ports += [random.randrange(12_000, 30_000) for _ in range(count - adjacent)]
+        if len(set(ports) | _given) < len(ports) + len(_given):
+            continue
         held = []
         try:
-            first = None
-            for number in range(adjacent):
-                sock = socket.socket()
-                held.append(sock)
-                sock.bind(('127.0.0.1', 0 if first is None else first + number))
-                first = first or sock.getsockname()[1]
-            for _ in range(count - adjacent):
-                sock = socket.socket()
-                held.append(sock)
-                sock.bind(('127.0.0.1', 0))
-            return [sock.getsockname()[1] for sock in held]
-        except (OSError, OverflowError):
+            for port in ports:
+                held.append(socket.socket())
+                held[-1].bind(('127.0.0.1', port))
+            _given.update(ports)
+            return ports
+        except OSError:
             continue
         finally:
             for sock in held:
                 sock.close()
+    raise CouldNotRun('no free ports')
 
 
 async def read_message(reader):
