--- a/review/bench2/fleet.py
+++ b/review/bench2/fleet.py
@@ -30,6 +30,8 @@
 }
 # Seconds for which the store keeps its history; the field `history_s` of the settings.
 HISTORY_S = 20
+# Exit code of a case whose rule was broken.
+BROKEN = 11
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 
 
@@ -390,7 +392,8 @@
             await self.process.wait()
 
     def read_log(self):
-        return (self.fleet.folder / f'{self.name}.log').read_text()
+        path = self.fleet.folder / f'{self.name}.log'
+        return path.read_text() if path.exists() else ''
 
 
 def make_route(prefix='/look/', kind='idempotent', service='looks', **more):
@@ -449,7 +452,10 @@
         for instance in self.instances:
             await instance.end()
         self.store.close()
+        logs = [instance.read_log() for instance in self.instances]
         self.temporary.cleanup()
+        if any('Address already in use' in log for log in logs):
+            raise CouldNotRun('a port of an instance was taken')
 
     async def publish(self, *resources):
         self.version += 1
@@ -539,7 +545,7 @@
 
 
 def main(case):
-    """Run a case; exit with 1 if the rule was broken, 0 if it held, 2 otherwise."""
+    """Run a case; exit with 11 if the rule was broken, 0 if it held, 2 otherwise."""
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     folder = Path(sys.argv[1] if len(sys.argv) > 1 else '.').resolve()
     try:
@@ -548,4 +554,5 @@
         print(f'could not run: {type(error).__name__}: {error}')
         sys.exit(2)
     print('broken' if broken else 'held')
-    sys.exit(1 if broken else 0)
+    # 1 would also stand for an error of Python itself; run.sh makes it of 11.
+    sys.exit(BROKEN if broken else 0)
