Logs: failed tasks and requests name where the error was raised

The new assertion of test_failed_task_is_restarted_with_backoff fails without the field. No logic changes.

--- a/currantmast/direct/front.py
+++ b/currantmast/direct/front.py
@@ -38,6 +38,7 @@
 from currantmast.errors import CurrantmastError
 from currantmast.messages import Address
 from currantmast.runtime.logs import log_event
+from currantmast.runtime.origins import find_origin
 
 CHUNK_BYTES = 65_536
 LISTEN_BACKLOG = 512
@@ -369,5 +370,5 @@
     try:
         return handler(request)
     except Exception as error:
-        log_event('request_failed', level='ERROR', error=error)
+        log_event('request_failed', level='ERROR', error=error, at=find_origin(error))
         return OutboundAnswer(HTTPStatus.BAD_GATEWAY)
--- a/currantmast/runtime/supervisor.py
+++ b/currantmast/runtime/supervisor.py
@@ -13,6 +13,7 @@
 from currantmast.clocks import Clock
 from currantmast.errors import LoopRejected, TaskFailed
 from currantmast.runtime.logs import log_event
+from currantmast.runtime.origins import find_origin
 
 FIRST_BACKOFF_S = 0.1
 LAST_BACKOFF_S = 5.0
@@ -103,7 +104,13 @@
     ) -> bool:
         now = self._clock.now()
         failures.append(now)
-        log_event('task_failed', level='ERROR', task=name, error=failure)
+        log_event(
+            'task_failed',
+            level='ERROR',
+            task=name,
+            error=failure,
+            at=find_origin(failure),
+        )
         recent = [moment for moment in failures if now - moment <= FAILURE_WINDOW_S]
         if len(recent) >= MAX_FAILURES:
             if not self._failure.ready():
--- a/tests/test_supervisor.py
+++ b/tests/test_supervisor.py
@@ -42,6 +42,8 @@
     assert len(attempts) == 5
     assert clock.now() == pytest.approx(0.1 + 0.2 + 0.4 + 0.8)
     assert lines.getvalue().count('event=task_failed task=root/task') == 4
+    # Names the place, so that one cause can be told from another.
+    assert lines.getvalue().count(' at=test_supervisor.py:') == 4
 
 
 def test_child_failure_reaches_the_root(lines):
