Updates: a change that fails costs only its own entry

Now each entry is applied by itself. A target whose change fails is used no more until a change succeeds; all entries are listed again every 5 s while one has failed. The position moves on after the update was applied. A configuration is put in force whole or not at all, and one that fails renews no lease. The same at its neighbours: a relayed entry that can't be encoded or decoded costs only itself (a configuration that a reserve can't decode is an unreadable answer, so it asks elsewhere), and a heartbeat that fails doesn't end the task that receives them.

--- a/currantmast/direct/configurations.py
+++ b/currantmast/direct/configurations.py
@@ -100,14 +100,21 @@
 
     def adopt(self, configuration: Configuration) -> bool:
         """Put `configuration` in force if it is newer; return whether it was."""
-        if self.value is not None and configuration.version <= self.version:
+        if not self.accepts(configuration):
             return False
+        ranks = UrgencyRanks(configuration)
+        routes = RouteTable(configuration.routes)
+        # Nothing of it is in force unless all of it could be read.
         self.value = configuration
         self.has_overload_control = configuration.has_overload_control
-        self.ranks = UrgencyRanks(configuration)
-        self._routes = RouteTable(configuration.routes)
+        self.ranks = ranks
+        self._routes = routes
         return True
 
+    def accepts(self, configuration: Configuration) -> bool:
+        """Return whether `configuration` is newer than the one in force."""
+        return self.value is None or configuration.version > self.version
+
     def match(self, host: str, path: str) -> Route | None:
         """Return the route for a request, or None."""
         return self._routes.match(host, path)
--- a/currantmast/direct/entrytables.py
+++ b/currantmast/direct/entrytables.py
@@ -1,5 +1,7 @@
 """The entries of one topic, as updates of the store change them."""
 
+from collections.abc import Callable
+from functools import partial
 from typing import Any, Protocol
 
 from currantmast.clocks import Clock
@@ -8,6 +10,7 @@
 from currantmast.direct.targetsequences import TargetSequences
 from currantmast.direct.updates import Entry, InvalidEntry, StoreUpdate, Topic
 from currantmast.runtime.logs import log_event
+from currantmast.runtime.origins import find_origin
 
 
 class Subscriber(Protocol):
@@ -26,6 +29,9 @@
     After an outage entries may be missing that are back soon, and after a restore the
     store also lists what was replaced or removed since the copy was taken.
 
+    A change that fails unexpectedly costs only its own entry: the others of the update are
+    applied all the same.
+
     Parameters
     ----------
     topic : Topic
@@ -40,6 +46,7 @@
 
     __slots__ = (
         '_clock',
+        '_failed',
         '_health',
         '_missing',
         '_outdated',
@@ -63,6 +70,8 @@
         # Entries of a restored store that are older than what is known.
         self._outdated: dict[str, Entry] = {}
         self._sequences = TargetSequences(clock)
+        # Entries whose newest change failed.
+        self._failed: set[str] = set()
 
     def __repr__(self) -> str:
         """Return a short description for debugging."""
@@ -73,6 +82,11 @@
         """Whether entries are missing that may be back soon."""
         return bool(self._missing)
 
+    @property
+    def has_failed(self) -> bool:
+        """Whether changes failed, so that the state differs from the store's."""
+        return bool(self._failed)
+
     def get_return_deadline(self) -> float:
         """Return the time until which entries that a list lacks may be back."""
         rewritten_at = self._health.get_rewrite_deadline()
@@ -84,17 +98,46 @@
         """Process a list of all entries, or the changes that a watch returned."""
         if is_full_list:
             self._outdated.clear()
+            self._failed.clear()
             listed = {entry.name for entry in update.entries}
+            deadline = self.get_return_deadline()
             for missing in set(self._revisions) - listed:
-                self._handle_missing(missing, self.get_return_deadline())
+                self._try(missing, partial(self._handle_missing, missing, deadline))
         for entry in update.entries:
-            self._apply_entry(entry)
+            self._failed.discard(entry.name)
+            self._try(entry.name, partial(self._apply_entry, entry))
         if self._clock.now() >= self.get_return_deadline():
             for name in tuple(self._missing):
-                self._drop(name, 'expired')
+                self._try(name, partial(self._drop, name, 'expired'))
         if self._outdated and not self._health.is_restoring():
             self._apply_outdated()
 
+    def _try(self, name: str, change: Callable[[], None]) -> None:
+        """Make a change of one entry; if it fails, use no target of this name."""
+        try:
+            change()
+        except Exception as failure:
+            self._note_failure(name, failure)
+        else:
+            return
+        if self._topic is not Topic.targets:
+            return
+        try:
+            self._drop(name, 'failed')
+        except Exception as failure:
+            self._note_failure(name, failure)
+
+    def _note_failure(self, name: str, failure: Exception) -> None:
+        self._failed.add(name)
+        log_event(
+            'entry_failed',
+            level='ERROR',
+            topic=self._topic.value,
+            name=name,
+            error=failure,
+            at=find_origin(failure),
+        )
+
     def _apply_entry(self, entry: Entry) -> None:
         match entry.value:
             case None:
@@ -134,7 +177,7 @@
     def _apply_outdated(self) -> None:
         """Apply what is still listed: its target lives, and says nothing else."""
         for entry in tuple(self._outdated.values()):
-            self._put(entry, entry.value)
+            self._try(entry.name, partial(self._put, entry, entry.value))
 
     def _get_lapse_deadline(self) -> float:
         """Return the time until which removed entries may only have lapsed."""
--- a/currantmast/direct/following.py
+++ b/currantmast/direct/following.py
@@ -1,5 +1,6 @@
 """Followers: lists and watches of the store that keep an instance's state up to date."""
 
+import math
 from collections.abc import Callable
 from random import Random
 from types import MappingProxyType
@@ -29,6 +30,9 @@
 # again.
 HANG_MARGIN_S = 1.0
 
+# Seconds from one list to the next while changes that failed are tried again.
+FAILED_INTERVAL_S = 5.0
+
 # Shortest wait in seconds of a watch of targets, however short the recovery time is.
 MIN_TARGETS_WAIT_S = 0.5
 
@@ -80,7 +84,7 @@
         Health of the store, shared by the followers of all topics.
     on_read : callable, optional
         Called after each successful read with the latest time at which what it returned
-        was certainly in the store.
+        was certainly in the store; not while a configuration can't be put in force.
     """
 
     __slots__ = (
@@ -89,6 +93,7 @@
         '_health',
         '_last_error',
         '_last_position',
+        '_list_again_at',
         '_on_read',
         '_position',
         '_rng',
@@ -117,6 +122,8 @@
         # Newest position that was read.
         self._last_position = START
         self._table = EntryTable(topic, subscriber, clock, health)
+        # Time from which the topic may be listed again because of failed changes.
+        self._list_again_at = -math.inf
         self._health = health
         self._store_lost = False
         # Error of the last call; empty after a successful one.
@@ -151,16 +158,23 @@
             return self._note_failure(error, sent_at)
         self._health.note_era(update.position.era)
         self._note_success(update.position)
-        is_full_list = self._position is None
+        self._table.apply(update, is_full_list=self._position is None)
+        # Moved on only now, so that an update that could not be applied is read again.
         self._position = update.position
         self._last_position = max(self._last_position, update.position)
-        self._table.apply(update, is_full_list=is_full_list)
+        if self._table.has_failed and sent_at >= self._list_again_at:
+            self._list_again_at = sent_at + FAILED_INTERVAL_S
+            self._position = None
         read_at = sent_at - update.age_s
         self._health.read_times.note(self.topic, read_at)
-        if self._on_read is not None:
+        if self._on_read is not None and not self._lacks_configuration():
             self._on_read(read_at)
         return WATCH_TIMINGS[self.topic].batch_pause_s if update.entries else 0
 
+    def _lacks_configuration(self) -> bool:
+        """Return whether a configuration was read, but could not be put in force."""
+        return self.topic is Topic.configuration and self._table.has_failed
+
     def _read(self) -> StoreUpdate:
         if self._position is None:
             return self._list_all()
--- a/currantmast/direct/heartbeats.py
+++ b/currantmast/direct/heartbeats.py
@@ -28,6 +28,7 @@
 from currantmast.direct.targets import TargetTable
 from currantmast.messages import Address
 from currantmast.runtime.logs import log_event
+from currantmast.runtime.origins import find_origin
 
 # Time between heartbeats to instances in the local region. Instances in other regions get
 # one every `REMOTE_PERIODS` periods: placement depends mostly on the load in the local
@@ -101,7 +102,12 @@
             if heartbeat is None:
                 self.rejected += 1
                 continue
-            self._handle_heartbeat(heartbeat)
+            try:
+                self._handle_heartbeat(heartbeat)
+            except Exception as failure:
+                # It must not keep the others from being processed.
+                self.rejected += 1
+                _log_failure(heartbeat, failure)
 
     def send(self) -> None:
         """Send heartbeats forever, one round per period, once there are members."""
@@ -279,6 +285,16 @@
     return member_id in members.entries or members.reports.has_demand(member_id)
 
 
+def _log_failure(heartbeat: Heartbeat, failure: Exception) -> None:
+    log_event(
+        'heartbeat_failed',
+        level='ERROR',
+        peer=heartbeat.sender,
+        error=failure,
+        at=find_origin(failure),
+    )
+
+
 def _note_slowdowns(targets: TargetTable, reports: SlowdownReports) -> None:
     for target_id, report in reports.items():
         target = targets.get(target_id)
--- a/currantmast/direct/instance_state.py
+++ b/currantmast/direct/instance_state.py
@@ -162,8 +162,9 @@
     def put(self, name: str, value: Configuration) -> None:
         """Put a configuration in force if it is newer."""
         self._state.stored_version = value.version
-        if self._state.configuration.adopt(value):
+        if self._state.configuration.accepts(value):
             self._state.rate_limiter.replace_limits(value.teams.values())
+            self._state.configuration.adopt(value)
             log_event('configuration_in_force', version=value.version)
             _log_faults(value)
         elif value.version < self._state.configuration.version:
--- a/currantmast/direct/relaymessages.py
+++ b/currantmast/direct/relaymessages.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable, Mapping
 from types import MappingProxyType
+from typing import Any
 
 import msgspec
 
@@ -60,6 +61,9 @@
     age_s: float
 
 
+# What a value raises that MessagePack can't hold.
+ENCODE_ERRORS = (msgspec.MsgspecError, ValueError, OverflowError, TypeError)
+
 _encoder = msgspec.msgpack.Encoder()
 _update_decoder = msgspec.msgpack.Decoder(RelayedUpdate)
 _value_decoders = {
@@ -68,13 +72,20 @@
 
 
 def encode_entry(entry: Entry) -> RelayedEntry:
-    """Return an entry of the store as a relay sends it."""
+    """Return an entry of the store as a relay sends it.
+
+    One that can't be encoded counts as invalid, so that the others reach the reserves.
+    """
     match entry.value:
         case None:
             return RelayedEntry(entry.name, entry.revision, None, None)
         case InvalidEntry(reason):
             return RelayedEntry(entry.name, entry.revision, None, reason)
-    return RelayedEntry(entry.name, entry.revision, _encoder.encode(entry.value), None)
+    try:
+        encoded = _encoder.encode(entry.value)
+    except ENCODE_ERRORS as error:
+        return RelayedEntry(entry.name, entry.revision, None, f'not encoded: {error}')
+    return RelayedEntry(entry.name, entry.revision, encoded, None)
 
 
 def encode_update(
@@ -102,9 +113,19 @@
 
 def _decode_entry(topic: Topic, relayed: RelayedEntry) -> Entry:
     if relayed.encoded is not None:
-        value = _value_decoders[topic].decode(relayed.encoded)
+        value = _decode_value(topic, relayed.encoded)
     elif relayed.reason is not None:
         value = InvalidEntry(relayed.reason)
     else:
         value = None
     return Entry(relayed.name, relayed.revision, value)
+
+
+def _decode_value(topic: Topic, encoded: bytes) -> Any:
+    try:
+        return _value_decoders[topic].decode(encoded)
+    except msgspec.MsgspecError as error:
+        if topic is Topic.configuration:
+            # Treated as removed, it would leave an older one in force unnoticed.
+            raise
+        return InvalidEntry(f'not decoded: {error}')
--- a/tests/test_direct_following.py
+++ b/tests/test_direct_following.py
@@ -365,3 +365,58 @@
     for _ in range(6):
         harness.play(UNAVAILABLE, WatchExpired(''), StoreUpdate(at(9), ()), pause_s=0.2)
     assert not harness.subscriber.entries
+
+
+class FailingSubscriber(RecordingSubscriber):
+    """Fails on every change of one entry."""
+
+    def __init__(self, name):
+        super().__init__()
+        self.name = name
+
+    def put(self, name, value):
+        if name == self.name:
+            raise RuntimeError('a fault')
+        super().put(name, value)
+
+
+@pytest.mark.parametrize('is_watch', [True, False], ids=['watch', 'list'])
+def test_entry_that_fails_costs_only_itself(is_watch):
+    """Guards against changes that are lost because they came behind a faulty one."""
+    harness = FollowerHarness()
+    subscriber = FailingSubscriber('b')
+    harness.follower._table._subscriber = subscriber
+    if is_watch:
+        harness.source.script = [StoreUpdate(at(1), ())]
+        harness.follower.step()
+    entries = tuple(Entry(name, 2, name) for name in 'abc')
+    harness.source.script = [StoreUpdate(at(2), entries)]
+    harness.follower.step()
+    assert subscriber.entries == {'a': 'a', 'c': 'c'}
+
+
+def test_change_that_failed_is_tried_again():
+    """Guards against an instance that acts without an entry until it changes again."""
+    harness = FollowerHarness()
+    subscriber = FailingSubscriber('b')
+    harness.follower._table._subscriber = subscriber
+    entries = tuple(Entry(name, 2, name) for name in 'abc')
+    harness.source.script = [StoreUpdate(at(2), entries)] * 2
+    harness.follower.step()
+    subscriber.name = None
+    harness.follower.step()
+    assert subscriber.entries == {'a': 'a', 'b': 'b', 'c': 'c'}
+    assert harness.source.reads == ['list', 'list']
+
+
+def test_configuration_that_fails_confirms_no_older_one():
+    """Guards against a lease on a configuration that a newer one has replaced."""
+    harness = FollowerHarness(Topic.configuration)
+    subscriber = FailingSubscriber('main')
+    harness.follower._table._subscriber = subscriber
+    harness.source.script = [StoreUpdate(at(2), (Entry('main', 2, 'new'),))] * 2
+    harness.follower.step()
+    assert harness.confirmed == []
+    subscriber.name = None
+    harness.follower.step()
+    assert harness.confirmed
--- a/tests/test_direct_oddtexts.py
+++ b/tests/test_direct_oddtexts.py
@@ -6,12 +6,27 @@
 from followingfleet import FollowingFleet, make_configuration, make_server
 from test_direct_steering import OK, SteeringHarness, make_route
 
-from currantmast.direct.model import Team
+from currantmast.direct.model import Location, TargetRecord, Team
+from currantmast.direct.positions import Position
+from currantmast.direct.relaymessages import (
+    RelayedEntry,
+    decode_update,
+    encode_entry,
+    encode_update,
+)
+from currantmast.direct.updates import Entry, InvalidEntry, Topic
+from currantmast.errors import StoreUnavailable
+from currantmast.messages import Address
 
 # Reads like an Authorization header, though it is none.
 LIKE_A_CREDENTIAL = 'standard bearer desk'
 
 
+def make_target(name, zone='fife-a'):
+    address = Address('127.0.0.1', 9)
+    return TargetRecord(name, 'desk', address, Location('fife', zone), 3)
+
+
 def test_service_that_reads_like_a_credential_ends_no_follower():
     """Guards against a log line about one entry that ends processes, or loses others."""
     with FollowingFleet(9, random.Random(1)) as fleet:
@@ -43,3 +58,29 @@
         headers['x-currantmast-request-id'] = LIKE_A_CREDENTIAL
     assert harness.ask(**headers).status == 200
     assert len(harness.connections.sent) == 1
+
+
+def test_entry_that_a_relay_cannot_pass_on_costs_only_itself():
+    """Guards against reserves that lose a whole update by one entry in it."""
+    half_a_pair = make_target('b', zone='\ud83d')
+    entries = (Entry('a', 1, make_target('a')), Entry('b', 1, half_a_pair))
+    body = encode_update(Position(0, 1), map(encode_entry, entries), 0)
+    received = decode_update(Topic.targets, body)
+    assert received.entries[0] == entries[0]
+    assert isinstance(received.entries[1].value, InvalidEntry)
+
+
+def test_relayed_entry_that_cannot_be_decoded_costs_only_itself():
+    """Guards against the same at the reserve, beside a relay of another version."""
+    relayed = (RelayedEntry('a', 1, b'\xc1', None), RelayedEntry('b', 1, None, None))
+    received = decode_update(Topic.targets, encode_update(Position(0, 1), relayed, 0))
+    assert isinstance(received.entries[0].value, InvalidEntry)
+    assert received.entries[1] == Entry('b', 1, None)
+
+
+def test_configuration_that_a_reserve_cannot_decode_confirms_nothing():
+    """Guards against an older configuration that stays in force unnoticed."""
+    relayed = (RelayedEntry('main', 1, b'\xc1', None),)
+    body = encode_update(Position(0, 1), relayed, 0)
+    with pytest.raises(StoreUnavailable):
+        decode_update(Topic.configuration, body)
