Keys: an unknown key finds no team that has no name

What callers would see: beside a team whose entry has no name, each request with a wrong key runs as that team (ROUTE, UNASKED); an empty key in an entry admits requests that bear none.

Cause: find_team looked unknown keys up as the team with the empty name.

Measured: test_unknown_key_finds_no_team_without_a_name failed before.

--- a/currantmast/direct/configurations.py
+++ b/currantmast/direct/configurations.py
@@ -120,10 +120,11 @@
         return self._routes.match(host, path)
 
     def find_team(self, key: str) -> Team | None:
-        """Return the team with the API key `key`, or None."""
-        if self.value is None:
+        """Return the team with the API key `key`, or None; an empty key is none."""
+        if self.value is None or not key:
             return None
-        return self.value.teams.get(self.value.keys.get(key, ''))
+        name = self.value.keys.get(key)
+        return None if name is None else self.value.teams.get(name)
 
     def refuses_key(self, key: str) -> bool:
         """Return whether `key` belongs to a team that can't be read."""
--- a/tests/test_direct_oddtexts.py
+++ b/tests/test_direct_oddtexts.py
@@ -6,6 +6,7 @@
 from followingfleet import FollowingFleet, make_configuration, make_server
 from test_direct_steering import OK, SteeringHarness, make_route
 
+from currantmast.direct.configurations import CurrentConfiguration
 from currantmast.direct.model import Location, TargetRecord, Team
 from currantmast.direct.positions import Position
 from currantmast.direct.relaymessages import (
@@ -17,6 +18,7 @@
 from currantmast.direct.updates import Entry, InvalidEntry, Topic
 from currantmast.errors import StoreUnavailable
 from currantmast.messages import Address
+from currantmast.platform.configurations import build_configuration
 
 # Reads like an Authorization header, though it is none.
 LIKE_A_CREDENTIAL = 'standard bearer desk'
@@ -84,3 +86,27 @@
     body = encode_update(Position(0, 1), relayed, 0)
     with pytest.raises(StoreUnavailable):
         decode_update(Topic.configuration, body)
+
+
+def build(*resources):
+    document = {'version': '00000001', 'resources': list(resources)}
+    current = CurrentConfiguration()
+    current.adopt(build_configuration(document))
+    return current
+
+
+def make_team(name, *keys):
+    return {
+        'res_kind': 'tenants',
+        'meta': {'name': name},
+        'spec': {'api_keys': list(keys)},
+    }
+
+
+def test_unknown_key_finds_no_team_without_a_name():
+    """Guards against an entry without a name that admits every key."""
+    team = make_team('', 'k1', '')
+    configuration = build(team)
+    assert configuration.find_team('k1').name == ''
+    assert configuration.find_team('other') is None
+    assert configuration.find_team('') is None
