Names: a head carries and compares them in one encoding

Cause: heads are read and written as Latin-1 and names in the store are Unicode; nothing stood between the two.

Fix: headertexts, in the adapter, encodes names as UTF-8 and decodes what is compared with them. A team or target whose name no header can carry unchanged (control characters, space around it) counts as unreadable: its requests get 503, and no target is told another name. Paths of the store stand percent-encoded in request lines and are compared so.

--- a/currantmast/platform/configurations.py
+++ b/currantmast/platform/configurations.py
@@ -21,6 +21,7 @@
     WeightedService,
     WorkKind,
 )
+from currantmast.platform.headertexts import encode_path, fits_header
 
 # What an entry that can't be decoded raises.
 DECODE_ERRORS = (msgspec.MsgspecError, ValueError, OverflowError)
@@ -268,7 +269,7 @@
     return Route(
         name=entry.meta.name,
         host=spec.host.lower(),
-        prefix=spec.path_prefix,
+        prefix=encode_path(spec.path_prefix),
         kind=_find_kind(spec.type) or WorkKind.non_idempotent,
         weighted_services=weighted_services,
         timeout_s=spec.timeout_s,
@@ -305,10 +306,12 @@
 
     Raises
     ------
-    ValidationError
-        If the entry can't be decoded.
+    ValidationError, ValueError
+        If the entry can't be decoded, or targets can't be told the name.
     """
     entry = msgspec.convert(resource, _TenantEntry)
+    if not fits_header(entry.meta.name):
+        raise ValueError('no header can carry the name - at `$.meta.name`')
     spec = entry.spec
     homes = frozenset(spec.home_regions)
     team = Team(entry.meta.name, spec.rate_per_s, spec.burst, homes, spec.prio)
@@ -344,7 +347,7 @@
     return Route(
         name='',
         host=host.lower(),
-        prefix=prefix,
+        prefix=encode_path(prefix),
         kind=WorkKind.non_idempotent,
         weighted_services=(),
         timeout_s=UNREADABLE_TIMEOUT_S,
--- a/currantmast/platform/documents.py
+++ b/currantmast/platform/documents.py
@@ -20,6 +20,7 @@
 from currantmast.direct.updates import InvalidEntry, Topic
 from currantmast.fields import parse_address
 from currantmast.platform.configurations import DECODE_ERRORS, build_configuration
+from currantmast.platform.headertexts import fits_header
 
 CONFIGURATION_NAME = 'main'
 
@@ -126,6 +127,8 @@
 
 def _build_target(name: str, spec: Any) -> TargetRecord:
     server = msgspec.convert(spec, _ServerSpec)
+    if not fits_header(name):
+        raise DocumentRejected('no header can carry the name')
     if server.zone not in _regions:
         raise DocumentRejected(f'unknown zone {server.zone}')
     if not math.isfinite(server.cold_left_s):
--- a/currantmast/platform/wire.py
+++ b/currantmast/platform/wire.py
@@ -23,6 +23,12 @@
     TargetAnswer,
 )
 from currantmast.direct.targets import Load
+from currantmast.platform.headertexts import (
+    decode_name,
+    encode_name,
+    encode_path,
+    parse_count,
+)
 
 REQUEST_ID = 'x-currantmast-request-id'
 DEADLINE_MS = 'x-currantmast-deadline-ms'
@@ -53,11 +59,12 @@
 def decode_request(inbound: InboundRequest) -> CallerRequest:
     """Return the steering-relevant fields of a caller's request."""
     path, _, _ = inbound.url.partition('?')
+    key = inbound.get(API_KEY)
     return CallerRequest(
         request_id=inbound.get(REQUEST_ID) or '',
-        host=(inbound.get('host') or '').lower(),
+        host=decode_name(inbound.get('host') or '').lower(),
         path=path,
-        key=inbound.get(API_KEY),
+        key=None if key is None else decode_name(key),
         object_key=_find_object_key(inbound.get('cookie')),
         time_limit_s=_find_time_limit(inbound.get(DEADLINE_MS)),
     )
@@ -73,15 +80,15 @@
         if name not in CONNECTION_HEADERS and name not in OWN_HEADERS
     ]
     headers.append((DEADLINE_MS, str(max(1, int(metadata.time_left_s * 1000)))))
-    headers.append((EXPECT_INSTANCE, metadata.target_id))
+    headers.append((EXPECT_INSTANCE, encode_name(metadata.target_id)))
     if metadata.team is not None:
-        headers.append((TENANT, metadata.team))
+        headers.append((TENANT, encode_name(metadata.team)))
     return TargetRequest(inbound.method, inbound.url, tuple(headers), inbound.body)
 
 
 def encode_health_query(path: str, host: str) -> TargetRequest:
     """Return the request that queries a target's health."""
-    return TargetRequest('GET', path, (('Host', host),))
+    return TargetRequest('GET', encode_path(path) or '/', (('Host', host),))
 
 
 def matches_request(request_id: str, answer: Answer) -> bool:
--- a/tests/test_direct_oddtexts.py
+++ b/tests/test_direct_oddtexts.py
@@ -7,6 +7,8 @@
 from test_direct_steering import OK, SteeringHarness, make_route
 
 from currantmast.direct.configurations import CurrentConfiguration
+from currantmast.direct.exchanges import encode_request
+from currantmast.direct.inbound import InboundRequest
 from currantmast.direct.model import Location, TargetRecord, Team
 from currantmast.direct.positions import Position
 from currantmast.direct.relaymessages import (
@@ -18,7 +20,9 @@
 from currantmast.direct.updates import Entry, InvalidEntry, Topic
 from currantmast.errors import StoreUnavailable
 from currantmast.messages import Address
+from currantmast.platform import wire
 from currantmast.platform.configurations import build_configuration
+from currantmast.platform.documents import configure_regions, decode_target
 
 # Reads like an Authorization header, though it is none.
 LIKE_A_CREDENTIAL = 'standard bearer desk'
@@ -103,6 +107,34 @@
     }
 
 
+@pytest.mark.parametrize('name', ['Grüße', 'Ελλάς', '\N{SNOWMAN} ltd'])
+def test_target_is_told_the_team_whatever_its_letters(name):
+    """Guards against a team that is never served, as no header could be built."""
+    harness = SteeringHarness(OK)
+    harness.state.configuration.value.teams['schools'] = Team(name)
+    assert harness.ask().status == 200
+    _, headers = harness.connections.sent[0]
+    assert headers['x-currantmast-tenant'].encode('latin-1').decode() == name
+
+
+@pytest.mark.parametrize('name', ['a\r\nX-Currantmast-Tenant: b', 'a\x00', ' a', 'a\t'])
+def test_team_that_no_header_can_carry_is_refused(name):
+    """Guards against forged headers, and targets that are told another team."""
+    configuration = build(make_team(name, 'k1'), make_team('schools', 'k2'))
+    assert configuration.refuses_key('k1')
+    assert configuration.find_team('k2').name == 'schools'
+    (fault,) = configuration.value.faults
+    assert fault.path == 'resources[0].meta.name'
+
+
+def test_key_of_any_letters_finds_its_team():
+    """Guards against keys that are compared in two encodings, and get 401."""
+    configuration = build(make_team('schools', 'schlüssel'))
+    sent = 'schlüssel'.encode().decode('latin-1')
+    head = InboundRequest('GET', '/', [('api-key', sent)], b'', True, 0)
+    assert configuration.find_team(wire.decode_request(head).key).name == 'schools'
+
+
 def test_unknown_key_finds_no_team_without_a_name():
     """Guards against an entry without a name that admits every key."""
     team = make_team('', 'k1', '')
@@ -110,3 +142,33 @@
     assert configuration.find_team('k1').name == ''
     assert configuration.find_team('other') is None
     assert configuration.find_team('') is None
+
+
+def test_host_and_prefix_of_any_letters_find_their_route():
+    route = {
+        'res_kind': 'routes',
+        'meta': {'name': 'r'},
+        'spec': {
+            'host': 'CAFÉ.example',
+            'path_prefix': '/é/',
+            'type': 'idempotent',
+            'timeout_s': 2,
+            'service': 'desk',
+        },
+    }
+    sent = 'Café.example'.encode().decode('latin-1')
+    head = InboundRequest('GET', '/%C3%A9/x?y', [('host', sent)], b'', True, 0)
+    call = wire.decode_request(head)
+    assert build(route).match(call.host, call.path).name == 'r'
+
+
+def test_health_path_of_any_letters_is_queried():
+    """Guards against a service whose ejected targets never come back."""
+    query = wire.encode_health_query('/gesund heit/ö', '127.0.0.1:9')
+    assert b''.join(encode_request(query)).startswith(b'GET /gesund%20heit/%C3%B6 HTTP')
+
+
+def test_target_whose_id_no_header_can_carry_is_not_used():
+    configure_regions({'fife-a': 'fife'})
+    record = decode_target('a\r\nb', make_server(1, zone='fife-a'))
+    assert isinstance(record, InvalidEntry)
