Numbers in headers: an odd one is no number, and ends nothing

What callers would see: a request with X-Currantmast-Deadline-Ms of 400 digits, or of a digit beyond ASCII, got 502; an answer with such a keep-alive timeout or load was lost behind the work that had run; a health answer with such a Cold-Ms left its target marked as being probed for ever, so it got nothing until the instance started again.

Cause: isdigit is true for more texts than int and float accept, and int rejects more than 4,300 digits; a probe caught errors of the connection only.

Fix: parse_count takes up to 15 ASCII digits; an unexpected error of a probe is a failed probe, and its line tells where it was raised.

--- a/currantmast/direct/answers.py
+++ b/currantmast/direct/answers.py
@@ -22,6 +22,7 @@
 # as a request is sent.
 IDLE_TIMEOUT_S = 6.0
 KEEP_ALIVE_FRACTION = 0.6
+MAX_TIMEOUT_DIGITS = 15
 
 # Limits of one exchange. Overhead is everything outside bodies: heads, trailers, chunk
 # framing and empty lines. Interim answers have a 1xx status; foreign ones do not belong to
@@ -301,10 +302,14 @@
     def _read_keep_alive(self, text: str) -> None:
         for field in text.split(','):
             name, _, seconds = field.strip().partition('=')
-            if name.lower() == 'timeout' and seconds.isdigit():
+            if name.lower() == 'timeout' and _is_count(seconds):
                 self.idle_s = min(IDLE_TIMEOUT_S, int(seconds) * KEEP_ALIVE_FRACTION)
 
 
+def _is_count(text: str) -> bool:
+    return text.isascii() and text.isdigit() and len(text) <= MAX_TIMEOUT_DIGITS
+
+
 def _unwrap_error(error: httptools.HttpParserError) -> ExchangeBroken:
     """Return the error that a callback raised, or a new one for a parser error."""
     cause = error.__context__
--- a/currantmast/direct/probes.py
+++ b/currantmast/direct/probes.py
@@ -7,8 +7,8 @@
 from currantmast.direct.instance_state import InstanceState
 from currantmast.direct.requests import WireFormat
 from currantmast.direct.targets import Target
-from currantmast.errors import TransportError
 from currantmast.runtime.logs import log_event
+from currantmast.runtime.origins import find_origin
 
 PROBE_PERIOD_S = 0.1
 PROBE_TIMEOUT_S = 1.0
@@ -62,8 +62,14 @@
         cold_s: float = 0
         try:
             healthy, cold_s = self._query_health(target)
-        except TransportError as error:
-            log_event('probe_failed', target=target.record.id, error=error)
+        except Exception as error:
+            # Whatever went wrong: without a result the target would never be probed again.
+            log_event(
+                'probe_failed',
+                target=target.record.id,
+                error=error,
+                at=find_origin(error),
+            )
         target.note_probe(healthy, cold_s)
         log_event(
             'target_probed', target=target.record.id, healthy=healthy, cold_s=cold_s
--- a/currantmast/platform/wire.py
+++ b/currantmast/platform/wire.py
@@ -126,10 +126,9 @@
 
     A target is healthy only if it answers with status 200 and its own id.
     """
-    cold_ms = answer.get(COLD_MS) or '0'
-    cold_s = float(cold_ms) / 1000 if cold_ms.replace('.', '', 1).isdigit() else 0
-    same = answer.get(INSTANCE_ID) == target_id
-    return answer.status == 200 and same, cold_s
+    cold_ms = _parse_number(answer.get(COLD_MS) or '') or 0
+    same = answer.get(INSTANCE_ID) == encode_name(target_id)
+    return answer.status == HTTPStatus.OK and same, cold_ms / 1000
 
 
 def encode_answer(answer: Answer) -> OutboundAnswer:
@@ -174,7 +173,8 @@
 
 
 def _find_time_limit(text: str | None) -> float | None:
-    return int(text) / 1000 if text and text.isdigit() else None
+    limit_ms = parse_count(text)
+    return None if limit_ms is None else limit_ms / 1000
 
 
 def _find_any(answer: Answer, names: Iterable[str]) -> str:
@@ -202,12 +202,9 @@
 def _find_load(text: str | None) -> Load | None:
     """Return the load in a header: three numbers, and perhaps a slowdown in percent."""
     fields = [field.strip() for field in (text or '').split(',')]
-    if len(fields) < LOAD_FIELDS or not all(map(_is_count, fields[:LOAD_FIELDS])):
+    counts = [parse_count(field) for field in fields[:LOAD_FIELDS]]
+    if len(counts) < LOAD_FIELDS or None in counts:
         return None
-    running, waiting, slots = map(int, fields[:LOAD_FIELDS])
+    running, waiting, slots = counts
     percent = _parse_number(''.join(fields[LOAD_FIELDS : LOAD_FIELDS + 1]))
     return Load(running, waiting, slots, percent / 100 if percent else None)
-
-
-def _is_count(text: str) -> bool:
-    return text.isascii() and text.isdigit()
