Logs: a request that is too large tells the limit that was applied

The line request_rejected told neither the size nor the limit, so a connection with old limits could not be told from an instance whose configuration is late. No logic changes.

--- a/currantmast/direct/inbound.py
+++ b/currantmast/direct/inbound.py
@@ -273,7 +273,7 @@
         length = headers.get('content-length', '0')
         announced = int(length) if length.isdigit() else 0
         if announced > self._limits.body_bytes:
-            raise RequestRejected(413, 'the body is too large')
+            raise _reject_size(announced, self._limits)
         self.is_awaited = 'continue' in headers.get('expect', '').lower()
         if announced > SMALL_BYTES or self.is_awaited:
             self._begin_large(announced)
@@ -282,7 +282,7 @@
         """Append a part of the body."""
         self._body_bytes += len(body)
         if self._body_bytes > self._limits.body_bytes:
-            raise RequestRejected(413, 'the body is too large')
+            raise _reject_size(self._body_bytes, self._limits)
         if self._body_bytes > SMALL_BYTES and not self._is_large:
             self._begin_large(0)
         if not self._hold(self._body_bytes):
@@ -337,8 +337,9 @@
 
     def _count_head(self, size: int) -> None:
         self._head_bytes += size
-        if self._head_bytes > self._limits.header_bytes:
-            raise RequestRejected(431, 'the request head is too large')
+        most = self._limits.header_bytes
+        if self._head_bytes > most:
+            raise RequestRejected(431, f'the head is too large, allowed: {most} bytes')
 
 
 def reject_for_room() -> RequestRejected:
@@ -349,6 +350,10 @@
     return RequestRejected(status, 'no room for the body', answer)
 
 
+def _reject_size(size: int, limits: CallerLimits) -> RequestRejected:
+    return RequestRejected(413, f'a body of {size} bytes, allowed: {limits.body_bytes}')
+
+
 def admit_all(head: InboundRequest) -> AdmittedHead:
     """Admit each request by its head."""
     return AdmittedHead()
