Limits: a kept connection applies those of the newest configuration

Cause: a connection took the limits once, when it was accepted. Evidence: on all three instances configuration_in_force version=2 comes before "a body of 600000 bytes, allowed: 300000"; so neither was the configuration late nor its limits unread.

Fix: RequestTimer, in its own module, reads the limits at the first byte of each request, and while a connection is idle; a request that arrives keeps those of its first byte.

--- a/currantmast/direct/front.py
+++ b/currantmast/direct/front.py
@@ -23,7 +23,6 @@
 from currantmast.direct.connectionslots import SlotUse
 from currantmast.direct.delivery import Delivery
 from currantmast.direct.inbound import (
-    PROGRESS_TIMEOUT_S,
     HeadHandler,
     InboundRequest,
     OutboundAnswer,
@@ -33,6 +32,7 @@
     reject_for_room,
 )
 from currantmast.direct.model import CallerLimits
+from currantmast.direct.requesttimers import PROGRESS_TIMEOUT_S
 from currantmast.direct.rooms import CallerResources
 from currantmast.direct.sockets import is_readable
 from currantmast.errors import CurrantmastError
@@ -78,7 +78,7 @@
     handler : callable
         Returns the answer to one request; may block its task for long.
     get_limits : callable
-        Returns the limits for requests on a new connection.
+        Returns the limits that are in force for callers.
     clock : Clock
         Source of time.
     resources : CallerResources, optional
@@ -172,7 +172,7 @@
         self._server = server
         self._sock = sock
         self._reader = RequestReader(
-            server.get_limits(),
+            server.get_limits,
             server.clock,
             server.admit,
             partial(server.resources.budget.open, self._evict),
@@ -208,7 +208,7 @@
         """Return what the connection is used for."""
         if self._has_pending_requests():
             return SlotUse.answering
-        if self._reader.started_at is not None:
+        if self._reader.timer.started_at is not None:
             return SlotUse.receiving
         return SlotUse.idle
 
@@ -222,7 +222,7 @@
         """Return whether a request has started to arrive, or isn't answered yet."""
         if self._finished:
             return False
-        if self._has_pending_requests() or self._reader.started_at is not None:
+        if self._has_pending_requests() or self._reader.timer.started_at is not None:
             return True
         return is_readable(self._sock)
 
@@ -270,14 +270,17 @@
 
     def _receive(self) -> bytes | None:
         """Return received bytes, or None if none arrived and the connection goes on."""
-        self._sock.settimeout(self._reader.choose_timeout())
+        is_answering = self._has_pending_requests()
+        self._sock.settimeout(self._reader.timer.choose_timeout(is_answering))
         try:
             return self._sock.recv(CHUNK_BYTES)
         except TimeoutError:
             if self._has_pending_requests():
                 return None
-            if self._reader.started_at is None:
-                raise
+            if self._reader.timer.started_at is None:
+                if self._reader.timer.is_idle_too_long():
+                    raise
+                return None
         if not self._reader.is_rejected:
             timeout = RequestRejected(408, 'the request did not arrive in time')
             self._reader.reject(timeout)
--- a/currantmast/direct/inbound.py
+++ b/currantmast/direct/inbound.py
@@ -11,11 +11,9 @@
 from currantmast.direct.bodies import Body, append_part, complete_body
 from currantmast.direct.memory import SMALL_BYTES, Reservation
 from currantmast.direct.model import CallerLimits
+from currantmast.direct.requesttimers import RequestTimer
 from currantmast.errors import CurrantmastError
 
-# Time without progress after which reading a body or writing an answer is aborted.
-PROGRESS_TIMEOUT_S = 10.0
-
 # Headers that apply to one connection or frame the body, so they are not forwarded.
 CONNECTION_HEADERS = frozenset(
     (
@@ -136,8 +134,8 @@
 
     Parameters
     ----------
-    limits : CallerLimits
-        Sizes and timeouts of requests.
+    get_limits : callable
+        Returns the sizes and timeouts in force.
     clock : Clock
         Source of time.
     admit : callable
@@ -148,20 +146,18 @@
 
     def __init__(
         self,
-        limits: CallerLimits,
+        get_limits: Callable[[], CallerLimits],
         clock: Clock,
         admit: HeadHandler,
         reserve: Callable[[], Reservation],
     ) -> None:
-        self.started_at: float | None = None
-        self.head_complete = False
+        self.timer = RequestTimer(get_limits, clock)
         self.parsed: deque[InboundRequest | RequestRejected] = deque()
         self.reservation: Reservation | None = None
         self.is_rejected = False
         # Whether the caller waits for `100 Continue`.
         self.is_awaited = False
         self._is_large = False
-        self._limits = limits
         self._clock = clock
         self._admit = admit
         self._reserve: Callable[[], Reservation] | None = reserve
@@ -177,6 +173,7 @@
         """Parse received bytes; return False if the connection can't carry more."""
         if self.is_rejected:
             return False
+        self.timer.note_activity()
         before = self._body_bytes
         try:
             self._parser.feed_data(received)
@@ -186,12 +183,12 @@
         self._overhead += len(received) - max(0, self._body_bytes - before)
         # The parser reports a name or value only when it is complete, so the callbacks
         # alone would not limit its size.
-        max_overhead = self._limits.header_bytes + MAX_FRAMING_BYTES
+        max_overhead = self.timer.limits.header_bytes + MAX_FRAMING_BYTES
         max_overhead += self._body_bytes * FRAMING_PER_BYTE
         if self._overhead > max_overhead:
             self.reject(RequestRejected(431, 'too many bytes outside the body'))
             return False
-        if not self.head_complete and not self._hold(self._overhead):
+        if not self.timer.head_complete and not self._hold(self._overhead):
             self.reject(reject_for_room())
             return False
         return True
@@ -232,21 +229,11 @@
         self.is_awaited = False
         return is_due
 
-    def choose_timeout(self) -> float:
-        """Return the timeout in seconds for receiving the next bytes."""
-        if self.started_at is None:
-            return self._limits.idle_s
-        if self.head_complete:
-            return PROGRESS_TIMEOUT_S
-        elapsed_s = self._clock.now() - self.started_at
-        return max(0.001, self._limits.header_timeout_s - elapsed_s)
-
     # Callbacks of httptools.
 
     def on_message_begin(self) -> None:
         """Reset the state for the next request."""
-        self.started_at = self._clock.now()
-        self.head_complete = False
+        self.timer.begin()
         self._head_bytes = 0
         self._body_bytes = 0
         self._url = b''
@@ -262,18 +249,18 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Append one header; those behind the body (trailers) are only counted."""
         self._count_head(len(name) + len(value) + 4)
-        if not self.head_complete:
+        if not self.timer.head_complete:
             known = name.decode('latin-1').lower()
             self._headers.append((known, value.decode('latin-1')))
 
     def on_headers_complete(self) -> None:
         """Check the announced body length, and decide on a large request."""
-        self.head_complete = True
+        self.timer.head_complete = True
         headers = dict(self._headers)
         length = headers.get('content-length', '0')
         announced = int(length) if length.isdigit() else 0
-        if announced > self._limits.body_bytes:
-            raise _reject_size(announced, self._limits)
+        if announced > self.timer.limits.body_bytes:
+            raise _reject_size(announced, self.timer.limits)
         self.is_awaited = 'continue' in headers.get('expect', '').lower()
         if announced > SMALL_BYTES or self.is_awaited:
             self._begin_large(announced)
@@ -281,8 +268,8 @@
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
         self._body_bytes += len(body)
-        if self._body_bytes > self._limits.body_bytes:
-            raise _reject_size(self._body_bytes, self._limits)
+        if self._body_bytes > self.timer.limits.body_bytes:
+            raise _reject_size(self._body_bytes, self.timer.limits)
         if self._body_bytes > SMALL_BYTES and not self._is_large:
             self._begin_large(0)
         if not self._hold(self._body_bytes):
@@ -294,7 +281,7 @@
         if self.reservation is not None:
             self.reservation.complete()
         self.parsed.append(self._make_request(complete_body(self._body)))
-        self.started_at = None
+        self.timer.end()
         self.is_awaited = False
         self.reservation = None
         self._body = b''
@@ -307,7 +294,7 @@
             headers=self._headers,
             body=body,
             keep_alive=self._parser.should_keep_alive(),
-            received_at=self.started_at or self._clock.now(),
+            received_at=self.timer.started_at or self._clock.now(),
             admitted=self._is_large,
             reservation=self.reservation,
         )
@@ -337,7 +324,7 @@
 
     def _count_head(self, size: int) -> None:
         self._head_bytes += size
-        most = self._limits.header_bytes
+        most = self.timer.limits.header_bytes
         if self._head_bytes > most:
             raise RequestRejected(431, f'the head is too large, allowed: {most} bytes')
 
--- a/tests/test_direct_front.py
+++ b/tests/test_direct_front.py
@@ -4,6 +4,7 @@
 from contextlib import contextmanager
 
 import gevent
+import msgspec
 import pytest
 from gevent import socket
 
@@ -111,6 +112,75 @@
         assert exchange(server, sent).startswith(b'HTTP/1.1 ' + status)
 
 
+class ChangingLimits:
+    """The limits in force, which a newer configuration replaces."""
+
+    def __init__(self, **changes):
+        self.value = CallerLimits(idle_s=5, **changes)
+
+    def replace(self, **changes):
+        self.value = msgspec.structs.replace(self.value, **changes)
+
+    @contextmanager
+    def connect(self, handler=lambda inbound: OutboundAnswer(200)):
+        address = Address('127.0.0.1', 0)
+        server = FrontServer(address, handler, lambda: self.value, BootClock())
+        with server, connect(server) as sock:
+            yield sock
+
+
+def upload(sock, size, header_bytes=0):
+    filler = 'x' * header_bytes
+    head = (
+        f'POST /a HTTP/1.1\r\nHost: h\r\nX: {filler}\r\nContent-Length: {size}\r\n\r\n'
+    )
+    sock.sendall(head.encode() + b'f' * size)
+    return sock.recv(100)[:12].decode()[9:]
+
+
+@pytest.mark.parametrize('size', [{'size': 600}, {'size': 1, 'header_bytes': 600}])
+def test_kept_connection_applies_larger_limits_of_a_newer_configuration(size):
+    """Guards against uploads that get 413 by limits which are no longer in force."""
+    limits = ChangingLimits(header_bytes=300, body_bytes=300)
+    with limits.connect() as sock:
+        assert upload(sock, 100) == '200'
+        limits.replace(header_bytes=2000, body_bytes=2000)
+        assert upload(sock, **size) == '200'
+
+
+def test_kept_connection_applies_smaller_limits_of_a_newer_configuration():
+    """Guards against callers that keep the limits of their first request for ever."""
+    limits = ChangingLimits(body_bytes=2000)
+    with limits.connect() as sock:
+        assert upload(sock, 600) == '200'
+        limits.replace(body_bytes=300)
+        assert upload(sock, 600) == '413'
+
+
+def test_request_is_held_to_the_limits_at_its_first_byte():
+    """Guards against a body that is refused midway by limits which came later."""
+    limits = ChangingLimits(body_bytes=2000)
+    with limits.connect() as sock:
+        sock.sendall(
+            b'POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n'
+        )
+        gevent.sleep(0.05)
+        limits.replace(body_bytes=300)
+        sock.sendall(b'258\r\n' + b'f' * 600 + b'\r\n0\r\n\r\n')
+        assert sock.recv(100).startswith(b'HTTP/1.1 200')
+
+
+def test_idle_connection_gets_the_longer_timeout_of_a_newer_configuration():
+    """Guards against a connection that is closed while its caller may use it."""
+    limits = ChangingLimits()
+    limits.replace(idle_s=0.3)
+    with limits.connect() as sock:
+        assert upload(sock, 1) == '200'
+        limits.replace(idle_s=5)
+        gevent.sleep(0.8)
+        assert upload(sock, 1) == '200'
+
+
 def test_idle_connection_is_closed_after_its_timeout():
     with open_front(echo) as server, connect(server) as sock:
         sock.sendall(b'GET /a HTTP/1.1\r\nHost: h\r\n\r\n')
--- a/tests/test_direct_readers.py
+++ b/tests/test_direct_readers.py
@@ -64,7 +64,7 @@
     limits = CallerLimits(body_bytes=400_000)
     budget = MemoryBudget(clock=ManualClock(0))
     reader = RequestReader(
-        limits, budget.clock, admit_all, lambda: budget.open(lambda: None)
+        lambda: limits, budget.clock, admit_all, lambda: budget.open(lambda: None)
     )
     for piece in stream:
         if not reader.feed(piece):
