Idle connections: the time counts from the last answer

What callers would see: the idle timeout ran from the moment at which the connection was read again, which is before the answer. After a request of 4 s a connection with idle_s of 15 was closed 11 s after its answer, while callers may use it for 12; a request that crosses the close is lost.

Measured: test_idle_time_counts_from_the_last_answer failed before.

--- a/currantmast/direct/front.py
+++ b/currantmast/direct/front.py
@@ -335,6 +335,7 @@
 
     def _end_request(self, request: InboundRequest | RequestRejected) -> None:
         request.release()
+        self._reader.timer.note_activity()
         self._busy = False
         self._server.active_requests -= 1
         self._server.resources.slots.note_use(self)
--- a/tests/test_direct_front.py
+++ b/tests/test_direct_front.py
@@ -181,6 +181,21 @@
         assert upload(sock, 1) == '200'
 
 
+def test_idle_time_counts_from_the_last_answer():
+    """Guards against the same after a request that took as long as the timeout."""
+    limits = ChangingLimits()
+    limits.replace(idle_s=1)
+
+    def answer_late(inbound):
+        gevent.sleep(0.9)
+        return OutboundAnswer(200)
+
+    with limits.connect(answer_late) as sock:
+        assert upload(sock, 1) == '200'
+        gevent.sleep(0.5)
+        assert upload(sock, 1) == '200'
+
+
 def test_idle_connection_is_closed_after_its_timeout():
     with open_front(echo) as server, connect(server) as sock:
         sock.sendall(b'GET /a HTTP/1.1\r\nHost: h\r\n\r\n')
