Traffic split: newer weights begin from nothing, each route by itself

What callers would see: a version that gives a split other weights on another scale (70 and 30, then 0.005 and 0.005) sent up to thousands of requests to one service before the new weights held; routes of one name, or of none, counted together, so two equal splits sent everything one way.

Cause: the counts of the smooth round robin were kept by the route's name for as long as the instance ran.

--- a/currantmast/direct/configurations.py
+++ b/currantmast/direct/configurations.py
@@ -52,29 +52,54 @@
     its weighted share, give or take less than one request.
     """
 
-    __slots__ = ('_current_weights',)
+    __slots__ = ('_rotations',)
 
     def __init__(self) -> None:
-        self._current_weights: dict[str, dict[str, float]] = {}
+        # By host and prefix of the route, as names need not be unique.
+        self._rotations: dict[tuple[str, str], _Rotation] = {}
 
     def __repr__(self) -> str:
         """Return a short description for debugging."""
-        return f'<WeightedRoundRobin routes={len(self._current_weights)}>'
+        return f'<WeightedRoundRobin routes={len(self._rotations)}>'
 
     def pick(self, route: Route) -> WeightedService:
         """Return the service for the next request of `route`."""
         if len(route.weighted_services) == 1:
             return route.weighted_services[0]
-        current_weights = self._current_weights.setdefault(route.name, {})
-        total = sum(weighted.weight for weighted in route.weighted_services)
-        for weighted in route.weighted_services:
+        place = route.host, route.prefix
+        rotation = self._rotations.get(place)
+        if rotation is None or rotation.services != route.weighted_services:
+            # What the weights of an older configuration left over has another scale.
+            rotation = _Rotation(route.weighted_services)
+            self._rotations[place] = rotation
+        return rotation.pick()
+
+
+class _Rotation:
+    """Smooth weighted round robin over the services of one route."""
+
+    __slots__ = ('_current_weights', '_total', 'services')
+
+    def __init__(self, services: tuple[WeightedService, ...]) -> None:
+        self.services = services
+        self._current_weights: dict[str, float] = {}
+        self._total = sum(weighted.weight for weighted in services)
+
+    def __repr__(self) -> str:
+        """Return a short description for debugging."""
+        return f'<_Rotation services={len(self.services)}>'
+
+    def pick(self) -> WeightedService:
+        """Return the service for the next request."""
+        current_weights = self._current_weights
+        for weighted in self.services:
             current_weights[weighted.service] = (
                 current_weights.get(weighted.service, 0) + weighted.weight
             )
         selected = max(
-            route.weighted_services, key=lambda option: current_weights[option.service]
+            self.services, key=lambda option: current_weights[option.service]
         )
-        current_weights[selected.service] -= total
+        current_weights[selected.service] -= self._total
         return selected
 
 
--- /dev/null
+++ b/tests/test_direct_replaced.py
@@ -0,0 +1,36 @@
+"""What is kept for long, and what a newer configuration or entry changes of it."""
+
+from collections import Counter
+
+import pytest
+
+from currantmast.direct.configurations import WeightedRoundRobin
+from currantmast.direct.model import Route, WeightedService, WorkKind
+
+
+def make_split(name='r', prefix='/a/', **weights):
+    services = tuple(WeightedService(*pair) for pair in weights.items())
+    return Route(name, 'h', prefix, WorkKind.idempotent, services, 2, 1)
+
+
+@pytest.mark.parametrize('scale', [0.01, 100])
+def test_new_weights_hold_from_the_first_request(scale):
+    """Guards against a backlog of the old weights that the new ones take long to undo."""
+    picker = WeightedRoundRobin()
+    for _ in range(3):
+        picker.pick(make_split(a=70, b=30))
+    split = make_split(a=0.5 * scale, b=0.5 * scale)
+    counts = Counter(picker.pick(split).service for _ in range(20))
+    assert counts == {'a': 10, 'b': 10}
+
+
+def test_routes_of_one_name_are_split_by_their_own_weights():
+    """Guards against routes without a name that share one count."""
+    picker = WeightedRoundRobin()
+    first = make_split('', '/a/', a=1, b=1)
+    second = make_split('', '/b/', a=1, b=1)
+    counts = Counter()
+    for _ in range(20):
+        counts[picker.pick(first).service] += 1
+        picker.pick(second)
+    assert counts == {'a': 10, 'b': 10}
