Connections: an idle one is used only for the address that it leads to

What callers would see: a target that is listed at another address without a new start time kept getting requests on idle connections to the old address, where another target may listen (421, or a lost attempt).

Cause: the pool was kept by the target's id, and emptied when the start time changed.

Measured: test_target_that_moved_gets_its_requests_at_the_new_address failed before.

--- a/currantmast/direct/exchanges.py
+++ b/currantmast/direct/exchanges.py
@@ -110,9 +110,10 @@
 
 
 class _Idle(msgspec.Struct, frozen=True):
-    """An idle connection and the clock time in seconds until which it may be used."""
+    """An idle connection, and until which clock time in seconds it may be used."""
 
     sock: Socket
+    address: Address
     until: float
 
 
@@ -200,7 +201,7 @@
             If bytes may have been sent and no complete answer was received.
         """
         started = self._clock.now()
-        sock = self._take_idle(target_id)
+        sock = self._take_idle(target_id, address)
         connect_s: float = 0
         if sock is None:
             sock = self._open(address, min(timeout_s, CONNECT_TIMEOUT_S))
@@ -219,7 +220,8 @@
         finally:
             reader.close()
             if reusable:
-                self._return_to_pool(target_id, sock, reader.idle_s)
+                idle = _Idle(sock, address, self._clock.now() + reader.idle_s)
+                self._return_to_pool(target_id, idle)
             else:
                 sock.close()
         return answer
@@ -245,18 +247,20 @@
         self.opened_count += 1
         return sock
 
-    def _take_idle(self, target_id: str) -> Socket | None:
+    def _take_idle(self, target_id: str, address: Address) -> Socket | None:
         idle_sockets = self._idle.get(target_id)
         while idle_sockets:
             idle = idle_sockets.pop()
-            if self._clock.now() < idle.until and not is_readable(idle.sock):
+            # The target may have moved, and another one may listen where it was.
+            is_current = idle.address == address and self._clock.now() < idle.until
+            if is_current and not is_readable(idle.sock):
                 return idle.sock
             idle.sock.close()
         return None
 
-    def _return_to_pool(self, target_id: str, sock: Socket, idle_s: float) -> None:
+    def _return_to_pool(self, target_id: str, idle: _Idle) -> None:
         idle_sockets = self._idle.setdefault(target_id, deque())
-        idle_sockets.append(_Idle(sock, self._clock.now() + idle_s))
+        idle_sockets.append(idle)
         while idle_sockets and idle_sockets[0].until <= self._clock.now():
             idle_sockets.popleft().sock.close()
 
--- a/tests/test_direct_replaced.py
+++ b/tests/test_direct_replaced.py
@@ -3,9 +3,19 @@
 from collections import Counter
 
 import pytest
+from test_direct_exchanges import make_answer, open_target, send
 
+from currantmast.clocks import BootClock
 from currantmast.direct.configurations import WeightedRoundRobin
-from currantmast.direct.model import Route, WeightedService, WorkKind
+from currantmast.direct.exchanges import TargetConnections
+from currantmast.direct.model import (
+    Route,
+    WeightedService,
+    WorkKind,
+)
+from currantmast.messages import Address
+
+ADDRESS = Address('127.0.0.1', 9)
 
 
 def make_split(name='r', prefix='/a/', **weights):
@@ -34,3 +44,14 @@
         counts[picker.pick(first).service] += 1
         picker.pick(second)
     assert counts == {'a': 10, 'b': 10}
+
+
+def test_target_that_moved_gets_its_requests_at_the_new_address():
+    """Guards against an idle connection to where another target may listen now."""
+    connections = TargetConnections(BootClock())
+    with open_target([make_answer('1')]) as old, open_target([make_answer('2')]) as new:
+        old.pool = new.pool = connections
+        assert send(old, '1').body == b'ok'
+        assert send(new, '2').body == b'ok'
+        assert len(old.requests) == 1
+    connections.close_all_idle()
