Cold targets: the senders follow the region of the newest entry

What callers would see: a target that starts again under its id in another region has different senders by the members that knew it before and by those that didn't; together they may send it more than a cold target bears (FAILBACK).

Cause: the rank of an instance was kept by the target's id until the members changed.

Measured: test_target_that_moved_to_another_region_is_ranked_anew failed before.

--- a/currantmast/direct/coldstart.py
+++ b/currantmast/direct/coldstart.py
@@ -83,7 +83,8 @@
     def __init__(self, own_id: str) -> None:
         self._own_id = own_id
         self._members: tuple[InstanceRecord, ...] = ()
-        self._ranks: dict[str, int] = {}
+        # By id and region of the target, as one may start again elsewhere.
+        self._ranks: dict[tuple[str, str], int] = {}
 
     def __repr__(self) -> str:
         """Return a short description for debugging."""
@@ -116,10 +117,11 @@
 
         It is the number of members if this instance is none of them.
         """
-        rank = self._ranks.get(target.id)
+        place = target.id, target.location.region
+        rank = self._ranks.get(place)
         if rank is None:
             rank = self._compute_rank(target)
-            self._ranks[target.id] = rank
+            self._ranks[place] = rank
         return rank
 
     def _compute_rank(self, target: TargetRecord) -> int:
--- a/tests/test_direct_replaced.py
+++ b/tests/test_direct_replaced.py
@@ -6,10 +6,14 @@
 from test_direct_exchanges import make_answer, open_target, send
 
 from currantmast.clocks import BootClock
+from currantmast.direct.coldstart import ColdStartLimit
 from currantmast.direct.configurations import WeightedRoundRobin
 from currantmast.direct.exchanges import TargetConnections
 from currantmast.direct.model import (
+    InstanceRecord,
+    Location,
     Route,
+    TargetRecord,
     WeightedService,
     WorkKind,
 )
@@ -55,3 +59,32 @@
         assert send(new, '2').body == b'ok'
         assert len(old.requests) == 1
     connections.close_all_idle()
+
+
+def test_target_that_moved_to_another_region_is_ranked_anew():
+    """Guards against senders that differ by when an instance heard of the target first.
+
+    Together they would send a cold target more than it bears.
+    """
+    members = [
+        make_member(f'{region}{number}') for region in 'ab' for number in range(9)
+    ]
+    before = make_cold('a')
+    after = make_cold('b')
+    senders = []
+    for member in members:
+        limit = ColdStartLimit(member.id)
+        limit.rank_members(members)
+        limit.get_rank(before)
+        senders.append(limit.get_rank(after))
+    assert sorted(senders) == list(range(len(members)))
+    assert max(senders[9:]) < min(senders[:9])
+
+
+def make_member(name):
+    return InstanceRecord(name, 'run', Location(name[0], name[0]), ADDRESS, ADDRESS)
+
+
+def make_cold(region):
+    location = Location(region, region)
+    return TargetRecord('t', 'desk', ADDRESS, location, 3, cold_left_s=9)
