Watches: changes that are too long to read are replaced by a list

Cause: the follower took the failure for an outage of the store, and the same question can only get the same or a longer answer. Evidence: store_lost lines with "too large: body" at an unchanged position.

Fix: such a watch counts as one whose history is gone, so the topic is listed, which holds the present state only.

--- a/currantmast/errors.py
+++ b/currantmast/errors.py
@@ -86,6 +86,10 @@
     """The object API did not answer, or answered that it is unavailable."""
 
 
+class StoreAnswerTooLarge(StoreUnavailable):
+    """An answer of the object API was longer than an instance reads."""
+
+
 class StoreOutcomeUnknown(StoreError):
     """A write may have taken effect; reading back did not tell."""
 
--- a/currantmast/platform/store.py
+++ b/currantmast/platform/store.py
@@ -11,6 +11,8 @@
 from currantmast.direct.positions import Position
 from currantmast.direct.updates import TRANSFER_S, Entry, StoreUpdate, Topic
 from currantmast.errors import (
+    AnswerTooLarge,
+    StoreAnswerTooLarge,
     StoreConflict,
     StoreError,
     StoreOutcomeUnknown,
@@ -109,12 +111,17 @@
         ------
         WatchExpired
             If the store no longer keeps the history since `position`, or came back from
-            a copy since.
+            a copy since, or if the changes since are too long to be read.
         StoreError
             If the call failed.
         """
         query = {'watch': str(position.revision), 'wait_ms': str(round(wait_s * 1000))}
-        page, newest = self._read(topic, query, wait_s + WATCH_MARGIN_S)
+        try:
+            page, newest = self._read(topic, query, wait_s + WATCH_MARGIN_S)
+        except StoreAnswerTooLarge as error:
+            # It holds each change since the position, and would be as long again; a list
+            # holds the present state only.
+            raise WatchExpired(f'{topic.value}: {error}') from error
         if newest.era != position.era:
             # It may have given the revision out again, so changes may be missing.
             raise WatchExpired(f'{topic.value}: {position} is of another era')
@@ -201,6 +208,8 @@
             return self._connections.exchange(
                 channel, self._address, request, timeout_s, lambda _: True
             )
+        except AnswerTooLarge as error:
+            raise StoreAnswerTooLarge(str(error)) from error
         except TransportError as error:
             # Other pooled connections to the store may be dead as well.
             self._connections.close_all_idle()
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -92,6 +92,19 @@
         client.watch(Topic.targets, position, 0)
 
 
+def test_watch_that_would_be_too_long_is_replaced_by_a_list(standin, client):
+    """Guards against an instance that asks for the same long answer again and again."""
+    position = client.list_all(Topic.configuration).position
+    filler = 'x' * 900_000
+    for version in range(1, 6):
+        spec = {'version': f'{version:08x}', 'resources': [], 'filler': filler}
+        standin.put('config', 'main', spec)
+    with pytest.raises(WatchExpired):
+        client.watch(Topic.configuration, position, 1)
+    (entry,) = client.list_all(Topic.configuration).entries
+    assert entry.value.version == 5
+
+
 def test_invalid_entry_does_not_affect_the_others(standin, client):
     standin.put('servers', 'i-1', make_server(1))
     standin.put('servers', 'i-2', 'not a server')
