Crashing requests: a target that fell silent has crashed if its next run is listed

Cause: only targets that refuse a new connection right after a broken exchange counted as crashed; an exchange that ran into its timeout was not followed up, and by the time that such a target resets its connections it is back.

Slow and cut-off targets are listed with the same run, so they count for nothing.

--- a/currantmast/direct/crashwatch.py
+++ b/currantmast/direct/crashwatch.py
@@ -6,6 +6,7 @@
 from currantmast.direct.exchanges import TargetConnections
 from currantmast.direct.inbound import InboundRequest
 from currantmast.direct.model import TargetRecord
+from currantmast.direct.silences import Silences
 from currantmast.errors import (
     AnswerTooLarge,
     ExchangeBroken,
@@ -18,23 +19,30 @@
 class CrashWatch:
     """Suspects the requests that were running on a target when it crashed.
 
-    A broken connection may also mean that the target lost an answer. Only a target that
-    accepts no new connection afterwards has crashed.
+    A broken connection may also mean that the target lost an answer. A target that
+    accepts no new connection afterwards has crashed, and so has one whose next run is
+    listed soon.
 
     Parameters
     ----------
     crashing : CrashingRequests
         The requests suspected so far.
+    silences : Silences
+        Requests without an answer whose targets may have crashed.
     connections : TargetConnections
         Connections to targets.
     """
 
-    __slots__ = ('_connections', '_crashing', '_pending')
+    __slots__ = ('_connections', '_crashing', '_pending', '_silences')
 
     def __init__(
-        self, crashing: CrashingRequests, connections: TargetConnections
+        self,
+        crashing: CrashingRequests,
+        silences: Silences,
+        connections: TargetConnections,
     ) -> None:
         self._crashing = crashing
+        self._silences = silences
         self._connections = connections
         # Fingerprints of the broken requests, by target that is being checked.
         self._pending: dict[str, set[str]] = {}
@@ -52,10 +60,11 @@
 
     def note_answer(self, inbound: InboundRequest, team: str) -> None:
         """Record that a target has answered a request."""
-        if not (self._crashing or self._pending):
+        if not (self._crashing or self._pending or self._silences):
             return
         fingerprint = _identify(inbound, team)
         self._crashing.note_answer(fingerprint)
+        self._silences.note_answer(fingerprint)
         for broken in self._pending.values():
             broken.discard(fingerprint)
 
@@ -66,12 +75,16 @@
         target: TargetRecord,
         error: ExchangeBroken,
     ) -> None:
-        """Check a target in the background after its connection broke."""
-        if isinstance(error, ProgressTimeout | AnswerTooLarge):
+        """Find out in the background whether a target crashed that gave no answer."""
+        if isinstance(error, AnswerTooLarge):
+            return
+        fingerprint = _identify(inbound, team)
+        self._silences.note(fingerprint, target)
+        if isinstance(error, ProgressTimeout):
             return
         is_checked = target.id in self._pending
         broken = self._pending.setdefault(target.id, set())
-        broken.add(_identify(inbound, team))
+        broken.add(fingerprint)
         if not is_checked:
             gevent.spawn(self._check, target)
 
@@ -79,18 +92,20 @@
         try:
             self._connections.try_connect(target.address)
         except NothingSent:
-            self._note_crash(target.id)
+            self._note_crash(target)
         finally:
             self._pending.pop(target.id)
 
-    def _note_crash(self, target_id: str) -> None:
-        for fingerprint in self._pending[target_id]:
-            crashes = self._crashing.note_crash(fingerprint, target_id)
+    def _note_crash(self, target: TargetRecord) -> None:
+        for fingerprint in self._pending[target.id]:
+            # Counted now, so not once more when the next run is listed.
+            self._silences.forget(fingerprint, target)
+            crashes = self._crashing.note_crash(fingerprint, target.id)
             log_event(
                 'request_suspected',
                 level='WARNING',
                 fingerprint=fingerprint,
-                target=target_id,
+                target=target.id,
                 crashes=crashes,
             )
 
--- a/currantmast/direct/steering.py
+++ b/currantmast/direct/steering.py
@@ -83,7 +83,10 @@
         self._clock = clock
         self._meter = meter
         self._admissions = AdmissionControl(state, wire, meter)
-        self._crash_watch = CrashWatch(state.targets.crashing_requests, connections)
+        targets = state.targets
+        self._crash_watch = CrashWatch(
+            targets.crashing_requests, targets.silences, connections
+        )
         self._returns = ReturnTimes(clock)
         self._waiting = WaitingRequests(clock)
 
--- a/currantmast/direct/targets.py
+++ b/currantmast/direct/targets.py
@@ -14,6 +14,7 @@
 from currantmast.direct.model import TargetRecord, TargetState
 from currantmast.direct.notices import TargetNotices
 from currantmast.direct.rampup import RampCause, RampUp
+from currantmast.direct.silences import Silences
 from currantmast.direct.slowdowns import MIN_TOLD, Slowdown
 from currantmast.runtime.logs import log_event
 
@@ -381,6 +382,7 @@
         'evacuated',
         'notices',
         'runs',
+        'silences',
     )
 
     def __init__(self, clock: Clock) -> None:
@@ -391,6 +393,7 @@
         self.notices = TargetNotices(clock)
         self.runs = ListedRuns(clock)
         self.crashing_requests = CrashingRequests(clock)
+        self.silences = Silences(clock, self.crashing_requests)
 
     def __len__(self) -> int:
         """Return the number of targets."""
--- a/tests/test_direct_crashes.py
+++ b/tests/test_direct_crashes.py
@@ -16,6 +16,7 @@
 from currantmast.direct.crashwatch import CrashWatch
 from currantmast.direct.inbound import InboundRequest
 from currantmast.direct.model import Location, TargetRecord
+from currantmast.direct.silences import AWAITED_S, Silences
 from currantmast.errors import (
     AnswerIncomplete,
     ExchangeBroken,
@@ -124,7 +125,8 @@
 def test_break_counts_only_if_the_target_is_gone(clock, error, refuses, suspected):
     """Guards against suspecting requests whose answers are lost by living targets."""
     crashing = CrashingRequests(clock)
-    watch = CrashWatch(crashing, FakeConnections(refuses))
+    silences = Silences(clock, crashing)
+    watch = CrashWatch(crashing, silences, FakeConnections(refuses))
     place = Location('fife', 'fife-a')
     inbound = InboundRequest('POST', '/x', [], b'', keep_alive=True, received_at=0)
     for number in range(MAX_CRASHES):
@@ -138,7 +140,8 @@
 def test_answer_while_a_target_is_checked_clears_the_request(clock):
     """Guards against refusing a request that another target has answered meanwhile."""
     crashing = CrashingRequests(clock)
-    watch = CrashWatch(crashing, FakeConnections(refuses=True))
+    silences = Silences(clock, crashing)
+    watch = CrashWatch(crashing, silences, FakeConnections(refuses=True))
     target = TargetRecord('t1', 's', Address('127.0.0.1', 1), Location('r', 'd'), 1)
     inbound = InboundRequest('POST', '/x', [], b'', keep_alive=True, received_at=0)
     watch.note_break(inbound, 'a', target, ExchangeBroken('reset'))
@@ -147,6 +150,84 @@
     assert not crashing
 
 
+class SilentTargets:
+    """Targets that fall silent with a request, and the instance that notices it."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.crashing = CrashingRequests(clock)
+        self.silences = Silences(clock, self.crashing)
+        self.watch = CrashWatch(
+            self.crashing, self.silences, FakeConnections(refuses=False)
+        )
+        self.inbound = InboundRequest('POST', '/x', [], b'', True, 0)
+
+    def leave_unanswered(self, number):
+        error = ProgressTimeout('no answer')
+        self.watch.note_break(self.inbound, 'a', make_run(number, 1000), error)
+
+    def list_run(self, number, started_at_ms):
+        self.silences.note_listed(make_run(number, started_at_ms))
+
+    def is_refused(self):
+        return self.watch.is_refused(self.inbound, 'a')
+
+
+def make_run(number, started_at_ms):
+    place = Location('fife', 'fife-a')
+    address = Address('127.0.0.1', 1 + number)
+    return TargetRecord(
+        f't{number}', 's', address, place, 1, started_at_ms=started_at_ms
+    )
+
+
+def test_request_is_refused_after_targets_fell_silent_with_it_and_restarted(clock):
+    """Guards against a request that takes down targets which don't reset connections."""
+    targets = SilentTargets(clock)
+    for number in range(MAX_CRASHES):
+        assert not targets.is_refused()
+        targets.leave_unanswered(number)
+        clock.advance(3)
+        targets.list_run(number, 1000 + 3000 * (number + 1))
+    assert targets.is_refused()
+
+
+def test_request_to_slow_or_cut_off_targets_is_not_suspected(clock):
+    """Guards against refusing a request whose targets live on, or restart much later."""
+    targets = SilentTargets(clock)
+    for number in range(2 * MAX_CRASHES):
+        targets.leave_unanswered(number)
+        targets.list_run(number, 1000)
+        targets.list_run(number + 100, 5000 + 3000 * number)
+    clock.advance(AWAITED_S)
+    for number in range(2 * MAX_CRASHES):
+        targets.list_run(number, 50_000 + 3000 * number)
+    assert not targets.crashing
+    assert not len(targets.silences)
+
+
+def test_targets_that_lost_power_together_count_as_one_crash(clock):
+    """Guards against a page that is refused since many targets had it as they fell."""
+    targets = SilentTargets(clock)
+    for number in range(2 * MAX_CRASHES):
+        targets.leave_unanswered(number)
+    for number in range(2 * MAX_CRASHES):
+        clock.advance(0.2)
+        targets.list_run(number, 61_000 + 200 * number)
+    assert not targets.is_refused()
+
+
+def test_answer_of_another_target_ends_the_suspicion(clock):
+    """Guards against refusing a request that only some of its targets did not answer."""
+    targets = SilentTargets(clock)
+    for number in range(MAX_CRASHES):
+        targets.leave_unanswered(number)
+    targets.watch.note_answer(targets.inbound, 'a')
+    for number in range(MAX_CRASHES):
+        targets.list_run(number, 61_000 + 3000 * number)
+    assert not targets.crashing
+
+
 def test_report_is_bounded_also_for_cleared_requests(clock):
     member = CrashingRequests(clock)
     for number in range(MAX_TOLD + 1):
