Probes: what a health answer asks for is kept too

Cause: a health answer told only whether the target is healthy.

Fix: TargetHealth, in place of a pair, also holds what the target asks for; note_wishes keeps it, as for answers to requests. Answers of another target that now listens on the address are left out.

--- a/currantmast/direct/probes.py
+++ b/currantmast/direct/probes.py
@@ -5,8 +5,9 @@
 from currantmast.clocks import Clock
 from currantmast.direct.exchanges import TargetConnections
 from currantmast.direct.instance_state import InstanceState
-from currantmast.direct.requests import WireFormat
+from currantmast.direct.requests import TargetHealth, WireFormat
 from currantmast.direct.targets import Target
+from currantmast.direct.wishes import note_wishes
 from currantmast.runtime.logs import log_event
 from currantmast.runtime.origins import find_origin
 
@@ -58,10 +59,9 @@
 
     def probe(self, target: Target) -> None:
         """Query one target and record the result."""
-        healthy = False
-        cold_s: float = 0
+        health = TargetHealth()
         try:
-            healthy, cold_s = self._query_health(target)
+            health = self._query_health(target)
         except Exception as error:
             # Whatever went wrong: without a result the target would never be probed again.
             log_event(
@@ -70,12 +70,19 @@
                 error=error,
                 at=find_origin(error),
             )
-        target.note_probe(healthy, cold_s)
+        note_wishes(
+            self._state.targets, target, leaving=health.leaving, pause_s=health.pause_s
+        )
+        target.note_probe(health.healthy, health.cold_s)
         log_event(
-            'target_probed', target=target.record.id, healthy=healthy, cold_s=cold_s
+            'target_probed',
+            target=target.record.id,
+            healthy=health.healthy,
+            cold_s=health.cold_s,
+            pause_s=health.pause_s,
         )
 
-    def _query_health(self, target: Target) -> tuple[bool, float]:
+    def _query_health(self, target: Target) -> TargetHealth:
         config = self._state.configuration.value
         service = config.services.get(target.record.service) if config else None
         query = self._wire.encode_health_query(
--- a/currantmast/direct/requests.py
+++ b/currantmast/direct/requests.py
@@ -101,6 +101,27 @@
         return self.stamped or self.status >= HTTPStatus.MULTIPLE_CHOICES
 
 
+class TargetHealth(msgspec.Struct, frozen=True):
+    """What the answer to a health query tells; the defaults stand for no answer.
+
+    Parameters
+    ----------
+    healthy : bool
+        Whether the target may get requests.
+    cold_s : float
+        Seconds for which it is still cold.
+    leaving : bool
+        Whether it leaves, and wants no more requests.
+    pause_s : float
+        Seconds for which it wants no request from this instance, health queries included.
+    """
+
+    healthy: bool = False
+    cold_s: float = 0
+    leaving: bool = False
+    pause_s: float = 0
+
+
 class LookupQuery(msgspec.Struct, frozen=True):
     """Region and failure domain of a caller that looks up instances."""
 
@@ -128,8 +149,8 @@
     def decode_answer(self, answer: Answer) -> TargetAnswer:
         """Return the metadata of a target's answer."""
 
-    def decode_health(self, answer: Answer, target_id: str) -> tuple[bool, float]:
-        """Return whether the target is healthy, and for how many seconds it is cold."""
+    def decode_health(self, answer: Answer, target_id: str) -> TargetHealth:
+        """Return what the answer to a health query of the target tells."""
 
     def encode_answer(self, answer: Answer) -> OutboundAnswer:
         """Return the answer to the caller for a target's answer."""
--- a/currantmast/direct/steering.py
+++ b/currantmast/direct/steering.py
@@ -24,13 +24,10 @@
 from currantmast.direct.inbound import AdmittedHead, InboundRequest, OutboundAnswer
 from currantmast.direct.instance_state import InstanceState
 from currantmast.direct.meters import Meter
-from currantmast.direct.notices import TargetNotices
-from currantmast.direct.rampup import RampCause
 from currantmast.direct.refusals import encode_refusal
 from currantmast.direct.requests import (
     AttemptMetadata,
     ShedReason,
-    TargetAnswer,
     WireFormat,
 )
 from currantmast.direct.returns import RefusedCaller, ReturnTimes
@@ -41,6 +38,7 @@
     WAIT_FRACTION,
     WaitingRequests,
 )
+from currantmast.direct.wishes import note_wishes
 from currantmast.errors import (
     AnswerIncomplete,
     AnswerTooLarge,
@@ -253,7 +251,12 @@
             self._state.target_limits.note_answer(
                 target.record.id, target_answer.rate_limit
             )
-        _note_notices(self._state.targets.notices, target, target_answer)
+        note_wishes(
+            self._state.targets,
+            target,
+            leaving=target_answer.leaving,
+            pause_s=target_answer.pause_s,
+        )
         match target_answer.shed:
             case ShedReason.full:
                 target.note_shed(needs_load=admission.by_cost)
@@ -373,18 +376,6 @@
     return Reason.connection_lost
 
 
-def _note_notices(
-    notices: TargetNotices, target: Target, target_answer: TargetAnswer
-) -> None:
-    if target_answer.leaving:
-        notices.note_leaving(target.record.id)
-    if target_answer.pause_s and notices.note_pause(
-        target.record.id, target_answer.pause_s
-    ):
-        pause_s = notices.get_pause(target.record.id)
-        target.ramp_up.begin(RampCause.pause, target.record.slots, pause_s)
-
-
 def _encode_result(wire: WireFormat, result: AttemptResult) -> OutboundAnswer:
     match result:
         case Answered(answer):
--- a/currantmast/platform/wire.py
+++ b/currantmast/platform/wire.py
@@ -21,6 +21,7 @@
     LookupQuery,
     ShedReason,
     TargetAnswer,
+    TargetHealth,
 )
 from currantmast.direct.targets import Load
 from currantmast.platform.headertexts import (
@@ -51,6 +52,7 @@
 # the key, which no target gets.
 OWN_HEADERS = frozenset((API_KEY, TENANT, EXPECT_INSTANCE, DEADLINE_MS))
 MISDIRECTED = 421
+MS_PER_S = 1000
 
 # Fields of a load that every target reports: running, waiting, slots.
 LOAD_FIELDS = 3
@@ -121,14 +123,24 @@
     )
 
 
-def decode_health(answer: Answer, target_id: str) -> tuple[bool, float]:
-    """Return whether a target is healthy, and its remaining cold-start time in seconds.
+def decode_health(answer: Answer, target_id: str) -> TargetHealth:
+    """Return what the answer to a health query tells.
 
-    A target is healthy only if it answers with status 200 and its own id.
+    A target is healthy only if it answers with status 200 and its own id. What another
+    one says that now listens on the address does not concern it.
     """
+    answered_id = answer.get(INSTANCE_ID)
+    own_id = encode_name(target_id)
+    if answered_id not in {None, own_id}:
+        return TargetHealth()
     cold_ms = _parse_number(answer.get(COLD_MS) or '') or 0
-    same = answer.get(INSTANCE_ID) == encode_name(target_id)
-    return answer.status == HTTPStatus.OK and same, cold_ms / 1000
+    asked = decode_answer(answer)
+    return TargetHealth(
+        healthy=answer.status == HTTPStatus.OK and answered_id == own_id,
+        cold_s=cold_ms / MS_PER_S,
+        leaving=asked.leaving,
+        pause_s=asked.pause_s,
+    )
 
 
 def encode_answer(answer: Answer) -> OutboundAnswer:
--- a/tests/test_direct_notices.py
+++ b/tests/test_direct_notices.py
@@ -134,6 +134,44 @@
     assert float(dict(answer.headers)['Retry-After']) == pytest.approx(0.5)
 
 
+def make_health(status, target_id='t1', *headers):
+    return make_answer(status, ('X-Currantmast-Instance-Id', target_id), *headers)
+
+
+def probe_twice(*answers):
+    """Return the ids of the targets that got one of two probes, 5 s apart."""
+    harness = SteeringHarness(*answers, targets=[make_target('t1')])
+    target = harness.state.targets.get('t1')
+    prober = Prober(harness.state, wire, harness.connections, harness.clock)
+    target.ejection.begin()
+    for _ in answers:
+        harness.clock.advance(5)
+        prober.probe_due()
+        gevent.sleep(0)
+    return list_asked(harness)
+
+
+def test_pause_in_a_health_answer_ends_the_probes():
+    """Guards against health queries to a target that asked for a pause by such an answer."""
+    pause = ('Retry-After', '20')
+    assert probe_twice(make_health(503, 't1', pause), OK) == ['t1']
+    assert probe_twice(make_health(503), OK) == ['t1', 't1']
+
+
+def test_pause_of_another_target_at_the_address_says_nothing():
+    pause = ('Retry-After', '20')
+    assert probe_twice(make_health(503, 't2', pause), OK) == ['t1', 't1']
+
+
+def test_target_that_leaves_by_its_health_answer_gets_nothing_more():
+    harness = SteeringHarness(
+        make_health(200, 't1', ('Server-Leaving', '1')), targets=[make_target('t1')]
+    )
+    prober = Prober(harness.state, wire, harness.connections, harness.clock)
+    prober.probe(harness.state.targets.get('t1'))
+    assert harness.ask().status == 503
+
+
 def test_target_that_wants_a_pause_is_not_probed():
     harness = SteeringHarness(make_pause(2.5), targets=[make_target('t1')])
     harness.ask()
