--- a/tests/test_direct_oddtexts.py
+++ b/tests/test_direct_oddtexts.py
@@ -4,13 +4,15 @@
 
 import pytest
 from followingfleet import FollowingFleet, make_configuration, make_server
-from test_direct_steering import OK, SteeringHarness, make_route
+from test_direct_steering import OK, STAMP, SteeringHarness, make_answer, make_route
 
+from currantmast.direct.answers import IDLE_TIMEOUT_S, AnswerReader, BufferedBytes
 from currantmast.direct.configurations import CurrentConfiguration
 from currantmast.direct.exchanges import encode_request
 from currantmast.direct.inbound import InboundRequest
 from currantmast.direct.model import Location, TargetRecord, Team
 from currantmast.direct.positions import Position
+from currantmast.direct.probes import Prober
 from currantmast.direct.relaymessages import (
     RelayedEntry,
     decode_update,
@@ -162,6 +164,50 @@
     assert build(route).match(call.host, call.path).name == 'r'
 
 
+@pytest.mark.parametrize('digits', ['\u00b2', '9' * 400, '9' * 5000])
+def test_odd_number_of_a_caller_is_no_time_limit(digits):
+    """Guards against a request that fails because of one of its headers."""
+    harness = SteeringHarness(OK)
+    assert harness.ask(**{'x-currantmast-deadline-ms': digits}).status == 200
+
+
+@pytest.mark.parametrize('digits', ['\u00b2', '9' * 400, '9' * 5000])
+@pytest.mark.parametrize('name', ['Server-Load', 'Cold-Ms', 'Server-Limit'])
+def test_odd_number_of_a_target_loses_no_answer(name, digits):
+    """Guards against work that ran and whose answer a header turns into an error."""
+    header = (f'X-Currantmast-{name}', f'{digits},{digits},{digits},{digits}')
+    shorter = (header[0], digits)
+    for odd in (header, shorter):
+        assert SteeringHarness(make_answer(200, STAMP, odd)).ask().status == 200
+
+
+@pytest.mark.parametrize('digits', ['\u00b2', '9' * 400, '9' * 5000])
+def test_odd_keep_alive_of_a_target_loses_no_answer(digits):
+    """Guards against the same in the parser of answers."""
+    reader = AnswerReader(lambda _: True, 0, BufferedBytes())
+    head = (
+        f'HTTP/1.1 200 OK\r\nKeep-Alive: timeout={digits}\r\nContent-Length: 0\r\n\r\n'
+    )
+    reader.feed(head.encode('latin-1'))
+    assert reader.answer.status == 200
+    assert reader.idle_s == IDLE_TIMEOUT_S
+
+
+@pytest.mark.parametrize('cold_ms', ['\u00b2', '9' * 400, '1.5.2', '-1', 'nan'])
+def test_odd_health_answer_ends_no_probe(cold_ms):
+    """Guards against a target that is never probed again after an odd answer."""
+    headers = (
+        ('X-Currantmast-Instance-Id', 't1'),
+        ('X-Currantmast-Cold-Ms', cold_ms),
+    )
+    harness = SteeringHarness(make_answer(200, *headers))
+    target = harness.state.targets.get('t1')
+    target.ejection.begin()
+    prober = Prober(harness.state, wire, harness.connections, harness.clock)
+    prober.probe(target)
+    assert not target.ejection
+
+
 def test_health_path_of_any_letters_is_queried():
     """Guards against a service whose ejected targets never come back."""
     query = wire.encode_health_query('/gesund heit/ö', '127.0.0.1:9')
