Object keys: long ones are kept as digests, and cookies are read in one pass

Cause: keys were kept at any length the head allows; the library's cookie parser takes a time that grows with the square of escaped text.

Fix: a key of more than 64 characters stands as its digest; only the one cookie is looked for.

Measured: test_long_keys_stay_distinct_and_take_little_memory and test_cookie_of_backslashes_takes_no_time failed before.

--- a/currantmast/platform/wire.py
+++ b/currantmast/platform/wire.py
@@ -3,10 +3,10 @@
 import math
 from collections.abc import Iterable
 from http import HTTPStatus
-from http.cookies import CookieError, SimpleCookie
 from urllib.parse import parse_qs
 
 import msgspec
+import xxhash
 
 from currantmast.direct.answers import Answer
 from currantmast.direct.exchanges import TargetRequest
@@ -54,6 +54,9 @@
 MISDIRECTED = 421
 MS_PER_S = 1000
 
+# Longest key of an object that is kept as it is.
+MAX_KEY_CHARS = 64
+
 # Fields of a load that every target reports: running, waiting, slots.
 LOAD_FIELDS = 3
 
@@ -174,14 +177,22 @@
     return ShedReason.misdirected if status == MISDIRECTED else ShedReason.full
 
 
-def _find_object_key(cookie: str | None) -> str:
-    if not cookie:
-        return ''
-    try:
-        morsel = SimpleCookie(cookie).get(AFFINITY)
-    except CookieError:
-        return ''
-    return morsel.value if morsel else ''
+def _find_object_key(cookies: str | None) -> str:
+    """Return the object that the cookies of a request name; an empty text for none.
+
+    A long key stands as its digest, since instances remember the keys of many objects.
+    """
+    for cookie in (cookies or '').split(';'):
+        name, _, key = cookie.partition('=')
+        if name.strip() == AFFINITY:
+            return _shorten_key(key.strip().strip('"'))
+    return ''
+
+
+def _shorten_key(key: str) -> str:
+    if len(key) <= MAX_KEY_CHARS:
+        return key
+    return xxhash.xxh3_128_hexdigest(key.encode())
 
 
 def _find_time_limit(text: str | None) -> float | None:
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -1,8 +1,11 @@
 """Encoding of requests and answers on the platform."""
 
+import time
+
 import pytest
 
 from currantmast.direct.answers import Answer
+from currantmast.direct.inbound import InboundRequest
 from currantmast.direct.targets import Load
 from currantmast.platform import wire
 
@@ -51,3 +54,42 @@
 def test_load_has_three_fields_or_more(text, load):
     answer = make_answer(200, ('X-Currantmast-Server-Load', text))
     assert wire.decode_answer(answer).load == load
+
+
+def find_key(cookie):
+    head = InboundRequest('GET', '/', [('cookie', cookie)], b'', True, 0)
+    return wire.decode_request(head).object_key
+
+
+@pytest.mark.parametrize(
+    ('cookie', 'key'),
+    [
+        ('X-Currantmast-Affinity-Key=17', '17'),
+        ('a=b; X-Currantmast-Affinity-Key=17; c=d', '17'),
+        ('a=b;X-Currantmast-Affinity-Key = "1 7"', '1 7'),
+        ('X-Currantmast-Affinity-Key=a=b', 'a=b'),
+        ('X-Currantmast-Affinity-Key=', ''),
+        ('X-Currantmast-Affinity-Key', ''),
+        ('Not-X-Currantmast-Affinity-Key=17', ''),
+        ('"a=b', ''),
+        ('', ''),
+    ],
+)
+def test_object_is_named_by_one_cookie(cookie, key):
+    assert find_key(cookie) == key
+
+
+def test_long_keys_stay_distinct_and_take_little_memory():
+    """Guards against callers that fill the memory with the keys of their objects."""
+    keys = {
+        find_key(f'X-Currantmast-Affinity-Key={"k" * 15_000}{n}') for n in range(50)
+    }
+    assert len(keys) == 50
+    assert max(map(len, keys)) <= wire.MAX_KEY_CHARS
+
+
+def test_cookie_of_backslashes_takes_no_time():
+    """Guards against a head that keeps the loop for the better part of a second."""
+    started = time.process_time()
+    find_key('a="' + '\\' * 16_000 + '"')
+    assert time.process_time() - started < 0.1
