Lease: a new run is behind for as long as its peers tell of a newer version

Cause: five seconds after the first word of a newer version the new run counted its own reads of the older one, though its peers went on telling.

Fix: the five seconds begin with the last word. An instance that has the newest version is not concerned, nor one whose peers are gone.

--- a/currantmast/direct/freshness.py
+++ b/currantmast/direct/freshness.py
@@ -15,7 +15,7 @@
 LEASE_MARGIN_S = 0.7
 
 
-# Seconds for which no read of an older version counts after a peer told of a newer one.
+# Seconds for which no read of an older version counts after a peer told of a newer one last.
 # A store that came back from a copy may not have the newer one yet.
 NEWER_VERSION_S = 5.0
 
@@ -65,6 +65,7 @@
         '_clock',
         '_confirmed_at',
         '_first_confirmed_at',
+        '_newest_heard_at',
         '_newest_told_at',
         '_peer_answered',
         'newest_version',
@@ -75,9 +76,10 @@
         self._confirmed_at = -math.inf
         self._first_confirmed_at = math.inf
         # Newest configuration version that a peer said it has in force, and when one
-        # said so first.
+        # said so first and last.
         self.newest_version = 0
         self._newest_told_at = -math.inf
+        self._newest_heard_at = -math.inf
         # Whether a peer has told this run its version.
         self._peer_answered = False
 
@@ -118,8 +120,8 @@
 
     def is_behind(self, local_version: int) -> bool:
         """Return whether a peer has told lately of a newer version than the local one."""
-        told_s = self._clock.now() - self._newest_told_at
-        return self.newest_version > local_version and told_s < NEWER_VERSION_S
+        heard_s = self._clock.now() - self._newest_heard_at
+        return self.newest_version > local_version and heard_s < NEWER_VERSION_S
 
     def started_behind(self, local_version: int) -> bool:
         """Return whether this run began with a version older than that of its peers.
@@ -160,3 +162,5 @@
         if version > self.newest_version:
             self.newest_version = version
             self._newest_told_at = self._clock.now()
+        if version == self.newest_version:
+            self._newest_heard_at = self._clock.now()
--- a/tests/test_direct_restored.py
+++ b/tests/test_direct_restored.py
@@ -204,6 +204,21 @@
     assert restarted.has_lease()
 
 
+def test_new_run_waits_for_a_configuration_that_is_written_again_late(fleet):
+    """Guards against a withdrawn key in use again while the peers still tell of it."""
+    copy = fleet.store.take_copy()
+    put_configuration(fleet, 5)
+    fleet.run(1)
+    lose(fleet, copy)
+    restarted = fleet.restart('i003')
+    for _ in range(20):
+        fleet.run(0.5)
+        assert not restarted.has_lease()
+    put_configuration(fleet, 5)
+    fleet.run(1)
+    assert restarted.has_lease()
+
+
 def test_lost_configuration_that_is_not_written_again_stops_nobody_for_long(fleet):
     copy = fleet.store.take_copy()
     put_configuration(fleet, 5)
