HEAD: the answer of a target ends with its head

Measured: test_answer_to_a_head_request_needs_no_body failed before; 359 tests of exchanges, front and readers pass.

--- a/currantmast/direct/answers.py
+++ b/currantmast/direct/answers.py
@@ -125,16 +125,23 @@
         Seconds that opening the connection took, copied to the answer.
     buffered : BufferedBytes
         Counter that all exchanges share.
+    is_head : bool
+        Whether the request was a HEAD request, whose answer has no body.
     """
 
     def __init__(
-        self, matches: AnswerMatcher, connect_s: float, buffered: BufferedBytes
+        self,
+        matches: AnswerMatcher,
+        connect_s: float,
+        buffered: BufferedBytes,
+        is_head: bool = False,
     ) -> None:
         self.answer: Answer | None = None
         self.idle_s = IDLE_TIMEOUT_S
         self._matches = matches
         self._connect_s = connect_s
         self._buffered = buffered
+        self._is_head = is_head
         self._parser = httptools.HttpResponseParser(self)
         self._started_count = 0
         self._interim_count = 0
@@ -253,6 +260,10 @@
                 self._read_keep_alive(text)
         if status in BODILESS_STATUSES:
             self._keep_answer(status)
+        elif self._is_head and status in FINAL_STATUSES:
+            # The parser would wait for the body that the head announces.
+            self._not_reusable = True
+            self._keep_answer(status)
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
--- a/currantmast/direct/exchanges.py
+++ b/currantmast/direct/exchanges.py
@@ -214,7 +214,9 @@
         if sock is None:
             sock = self._open(address, min(timeout_s, CONNECT_TIMEOUT_S))
             connect_s = self._clock.now() - started
-        reader = AnswerReader(matches, connect_s, self._buffered)
+        reader = AnswerReader(
+            matches, connect_s, self._buffered, is_head=request.method == 'HEAD'
+        )
         reusable = False
         left_s = timeout_s - (self._clock.now() - started)
         deadline = _Deadline(self._clock, left_s, request.transfer_s)
--- a/currantmast/direct/inbound.py
+++ b/currantmast/direct/inbound.py
@@ -365,12 +365,17 @@
     is_head : bool
         Whether the request was a HEAD request, whose answer has no body.
     """
-    head = encode_head(answer, keep_alive)
+    head = encode_head(answer, keep_alive, is_head)
     return head if is_head else b''.join((head, bytes(answer.body)))
 
 
-def encode_head(answer: OutboundAnswer, keep_alive: bool) -> bytes:
-    """Return the head of the answer as HTTP/1.1 bytes; see `encode_answer`."""
+def encode_head(
+    answer: OutboundAnswer, keep_alive: bool, is_head: bool = False
+) -> bytes:
+    """Return the head of the answer as HTTP/1.1 bytes; see `encode_answer`.
+
+    To a HEAD request it names no length, as that of the body is not known.
+    """
     reason = answer.reason or _find_phrase(answer.status)
     lines = [f'HTTP/1.1 {answer.status} {reason}']
     lines.extend(
@@ -378,7 +383,8 @@
         for name, text in answer.headers
         if name.lower() not in CONNECTION_HEADERS
     )
-    if answer.status not in {HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED}:
+    has_body = answer.status not in {HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED}
+    if has_body and not is_head:
         lines.append(f'Content-Length: {len(answer.body)}')
     if not keep_alive:
         lines.append('Connection: close')
--- a/tests/test_direct_exchanges.py
+++ b/tests/test_direct_exchanges.py
@@ -244,3 +244,17 @@
         target.pool.close_expired()
         assert sock.closed
         assert not target.pool._idle
+
+
+def test_answer_to_a_head_request_needs_no_body():
+    """Guards against a HEAD request that waits for a body until its timeout."""
+    head = b'HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 500\r\n\r\n'
+    interim = b'HTTP/1.1 103 Early Hints\r\n\r\n'
+    with open_target([interim, head], [make_answer('2')]) as target:
+        request = TargetRequest('HEAD', '/x', (('Id', '1'),))
+        answer = target.pool.exchange(
+            't', target.address, request, 1, lambda found: found.get('id') == '1'
+        )
+        assert (answer.status, answer.body) == (200, b'')
+        assert send(target, '2').body == b'ok'
+        assert target.connections == 2
