--- a/review/stand3/standins.py
+++ b/review/stand3/standins.py
@@ -113,6 +113,11 @@
         self.history = []
         self.changed = asyncio.Event()
         self.address = ''
+        # How often it came back from a copy, and the oldest revision with a history.
+        self.era = 1
+        self.known_from = 0
+        # While it is away, it answers 503 and does nothing.
+        self.is_away = False
 
     async def open(self):
         server = await asyncio.start_server(self._serve, LOOPBACK, 0)
@@ -136,6 +141,17 @@
         if known is not None:
             self._record(kind, known, True)
 
+    def take_copy(self):
+        return self.revision, json.dumps(list(self.objects.items()))
+
+    def restore(self, copy):
+        """Come back from a copy: revisions are given out again, in a new era."""
+        self.revision, objects = copy[0], json.loads(copy[1])
+        self.objects = {tuple(place): stored for place, stored in objects}
+        self.history.clear()
+        self.known_from = self.revision
+        self.era += 1
+
     def _record(self, kind, stored, deleted):
         self.revision += 1
         stored['meta']['rev'] = self.revision
@@ -150,8 +166,10 @@
                 line, headers = head
                 body = await read_body(reader, headers)
                 method, url, _ = line.split(' ')
-                status, content = await self._answer(method, url, body)
-                kind = (('Content-Type', 'application/json'),)
+                status, content = 503, None
+                if not self.is_away:
+                    status, content = await self._answer(method, url, body)
+                kind = (('Content-Type', 'application/json'), ('Store-Era', self.era))
                 data = b'' if content is None else json.dumps(content).encode()
                 writer.write(make_answer(status, kind, data))
                 await writer.drain()
@@ -196,6 +214,10 @@
         since = int(query['watch'])
         until = time.monotonic() + min(30, int(query.get('wait_ms', '0')) / 1000)
         while True:
+            if self.is_away:
+                return 503, None
+            if not self.known_from <= since <= self.revision:
+                return 410, None
             changed = self.changed
             events = [
                 event
